--- a/benchlink/src/host.rs
+++ b/benchlink/src/host.rs
@@ -1,7 +1,7 @@
 //! The instances of one process: names to numbers and back, events in, actions out.
 
 use crate::wire::{Batch, Entry, Env, Event, Row, Rules};
-use leadlanding as ll;
+use sablerun as sr;
 use std::collections::{BTreeMap, HashMap};
 use std::fmt::Write;
 
@@ -38,7 +38,7 @@
 
 /// One dispatcher and the names that it was told.
 struct Instance {
-    balancer: ll::Balancer,
+    balancer: sr::Balancer,
     workers: Names,
     zones: Names,
     kinds: Names,
@@ -59,37 +59,37 @@
 }
 
 impl Instance {
-    fn new(seed: u64, now: ll::Time, env: &Env) -> Result<Instance, String> {
+    fn new(seed: u64, now: sr::Time, env: &Env) -> Result<Instance, String> {
         let mut zones = Names::of(&env.failure_domains);
         let kinds = Names::of(&env.kinds);
         let classes = env.services.iter().enumerate();
-        let settings = ll::Settings {
+        let settings = sr::Settings {
             dispatchers: env.balancers,
             number: env.me,
-            zone: Some(ll::ZoneId(zones.number(&env.zone))),
+            zone: Some(sr::ZoneId(zones.number(&env.zone))),
             classes: classes
                 .map(|(i, service)| {
                     let kind = env.extra.class_kind.get(i).copied().unwrap_or(-1);
                     let stretch = env.extra.class_stretch.get(i).copied();
-                    Ok(ll::Class {
-                        objective: ll::Span(service.objective),
+                    Ok(sr::Class {
+                        objective: sr::Span(service.objective),
                         stretch: service.aim_stretch.or(stretch).unwrap_or(0.0),
-                        deadline: ll::Span(service.deadline),
+                        deadline: sr::Span(service.deadline),
                         worth: service.importance,
                         late_worth: service.late_worth,
                         effect: effect(&service.repeat, service.group.as_deref())?,
-                        window: ll::Span(service.window),
-                        kind: u32::try_from(kind).ok().map(ll::KindId),
+                        window: sr::Span(service.window),
+                        kind: u32::try_from(kind).ok().map(sr::KindId),
                     })
                 })
                 .collect::<Result<_, String>>()?,
             tenants: env
                 .projects
                 .iter()
-                .map(|project| ll::Tenant { quota_per_s: project.quota_per_s })
+                .map(|project| sr::Tenant { quota_per_s: project.quota_per_s })
                 .collect(),
             over_share_worth: env.over_share_worth,
-            prices: ll::Prices {
+            prices: sr::Prices {
                 cross_zone: env.prices.cross_zone,
                 handshake: env.prices.handshake,
                 waste: env.prices.waste,
@@ -97,30 +97,30 @@
                 late_fail: env.prices.late_fail,
             },
             discovery: match env.membership_mode.as_str() {
-                "pushed" => ll::Discovery::Pushed,
-                "on_request" => ll::Discovery::Asked,
+                "pushed" => sr::Discovery::Pushed,
+                "on_request" => sr::Discovery::Asked,
                 other => return Err(format!("PROVISION.env: membershipMode {other:?}")),
             },
-            tick: ll::Span(env.tick),
+            tick: sr::Span(env.tick),
             tells_start: env.extra.tells_start,
-            progress: ll::Span(env.extra.progress),
+            progress: sr::Span(env.extra.progress),
             cancel: env.limits.cancel,
             probing: env.limits.probing,
             parallel: env.limits.parallel_tries,
-            idle_limit: env.limits.conn_idle.map_or(ll::Settings::default().idle_limit, ll::Span),
+            idle_limit: env.limits.conn_idle.map_or(sr::Settings::default().idle_limit, sr::Span),
             max_attempts: env.limits.try_limit,
             budget: budget(&env.rules)?,
-            tail: ll::Tail { weight: env.goal.tail_part, tolerated: env.goal.tail_miss },
+            tail: sr::Tail { weight: env.goal.tail_part, tolerated: env.goal.tail_miss },
             worth_by_work: env.worth_by == "work",
             marks_retries: env.client_habits.marks_retry,
             sized: matches!(env.weights.as_str(), "nominal" | "rough"),
-            max_hold_off: ll::Span(if env.limits.retry_after { env.limits.max_retry_after } else { 0 }),
-            drain_grace: ll::Span(env.rules.drain_grace),
+            max_hold_off: sr::Span(if env.limits.retry_after { env.limits.max_retry_after } else { 0 }),
+            drain_grace: sr::Span(env.rules.drain_grace),
             drain_binds_alone: env.rules.drain_binds_alone,
             cold_from: env.rules.cold_from,
-            warm_after: ll::Span(env.rules.warm_after),
+            warm_after: sr::Span(env.rules.warm_after),
             fall_multiple: env.rules.fall_multiple,
-            fall: ll::Span(env.rules.fall),
+            fall: sr::Span(env.rules.fall),
         };
         let fields = env.reporting.fields.iter().map(|name| {
             let meaning = match name.as_str() {
@@ -138,7 +138,7 @@
             }
         });
         let fields = fields.collect();
-        let balancer = ll::Balancer::new(settings, seed, now).map_err(|e| format!("PROVISION.env: {e}"))?;
+        let balancer = sr::Balancer::new(settings, seed, now).map_err(|e| format!("PROVISION.env: {e}"))?;
         Ok(Instance {
             balancer,
             workers: Names::default(),
@@ -150,12 +150,12 @@
         })
     }
 
-    fn report(&self, row: Row) -> Option<ll::Report> {
-        let mut report = ll::Report::default();
+    fn report(&self, row: Row) -> Option<sr::Report> {
+        let mut report = sr::Report::default();
         for (&field, value) in self.fields.iter().zip(row?) {
             match field {
                 Field::Inflight => report.inflight = value,
-                Field::Latency => report.latency = value.map(|ms| ll::Span::from_secs(ms / 1e3)),
+                Field::Latency => report.latency = value.map(|ms| sr::Span::from_secs(ms / 1e3)),
                 Field::FreeSlots => report.free_slots = value,
                 Field::FreeMemory => report.free_memory = value,
                 Field::Errors => report.errors_per_s = value,
@@ -165,57 +165,57 @@
         Some(report)
     }
 
-    fn entry(&mut self, entry: &Entry) -> Result<ll::ListEntry, String> {
+    fn entry(&mut self, entry: &Entry) -> Result<sr::ListEntry, String> {
         let standing = match entry.4.as_str() {
-            "ready" => ll::Standing::Ready,
-            "draining" => ll::Standing::Draining,
-            "gone" => ll::Standing::Gone,
+            "ready" => sr::Standing::Ready,
+            "draining" => sr::Standing::Draining,
+            "gone" => sr::Standing::Gone,
             other => return Err(format!("PAGE.entries: state {other:?}")),
         };
-        Ok(ll::ListEntry {
-            worker: ll::WorkerId(self.workers.number(&entry.0)),
-            zone: ll::ZoneId(self.zones.number(&entry.1)),
-            kind: ll::KindId(self.kinds.number(&entry.2)),
+        Ok(sr::ListEntry {
+            worker: sr::WorkerId(self.workers.number(&entry.0)),
+            zone: sr::ZoneId(self.zones.number(&entry.1)),
+            kind: sr::KindId(self.kinds.number(&entry.2)),
             cell: entry.3,
             standing,
             size: entry.5.unwrap_or(1.0),
-            up_since: entry.6.filter(|&t| t > 0).map(ll::Time),
+            up_since: entry.6.filter(|&t| t > 0).map(sr::Time),
         })
     }
 }
 
-fn effect(repeat: &str, group: Option<&str>) -> Result<ll::Effect, String> {
+fn effect(repeat: &str, group: Option<&str>) -> Result<sr::Effect, String> {
     Ok(match (repeat, group) {
-        ("retryable", _) => ll::Effect::Safe,
-        ("fragile", _) => ll::Effect::Unsafe,
-        ("dedup", Some("zone")) => ll::Effect::Keyed(ll::Group::Zone),
-        ("dedup", Some("cell")) => ll::Effect::Keyed(ll::Group::Cell),
-        ("dedup", Some("all") | None) => ll::Effect::Keyed(ll::Group::All),
+        ("retryable", _) => sr::Effect::Safe,
+        ("fragile", _) => sr::Effect::Unsafe,
+        ("dedup", Some("zone")) => sr::Effect::Keyed(sr::Group::Zone),
+        ("dedup", Some("cell")) => sr::Effect::Keyed(sr::Group::Cell),
+        ("dedup", Some("all") | None) => sr::Effect::Keyed(sr::Group::All),
         _ => return Err(format!("PROVISION.env: services repeat {repeat:?}, group {group:?}")),
     })
 }
 
 /// The budget of further attempts: all three settings or none.
-fn budget(rules: &Rules) -> Result<Option<ll::Budget>, String> {
+fn budget(rules: &Rules) -> Result<Option<sr::Budget>, String> {
     match (rules.extra_floor, rules.repeat_ratio, rules.look_back) {
         (None, None, None) => Ok(None),
         (Some(floor), Some(ratio), Some(window)) => {
-            Ok(Some(ll::Budget { floor, ratio, window: ll::Span(window) }))
+            Ok(Some(sr::Budget { floor, ratio, window: sr::Span(window) }))
         }
         _ => Err("PROVISION.env: rules extraFloor, repeatRatio and lookBack go together".to_owned()),
     }
 }
 
-fn outcome(status: u32) -> Result<ll::Outcome, String> {
+fn outcome(status: u32) -> Result<sr::Outcome, String> {
     Ok(match status {
-        0 => ll::Outcome::Ok,
-        255 => ll::Outcome::Error,
-        254 => ll::Outcome::Full,
-        253 => ll::Outcome::Timeout,
-        252 => ll::Outcome::ConnectFailed,
-        251 => ll::Outcome::Reset,
-        250 => ll::Outcome::Cancelled,
-        249 => ll::Outcome::Moot,
+        0 => sr::Outcome::Ok,
+        255 => sr::Outcome::Error,
+        254 => sr::Outcome::Full,
+        253 => sr::Outcome::Timeout,
+        252 => sr::Outcome::ConnectFailed,
+        251 => sr::Outcome::Reset,
+        250 => sr::Outcome::Cancelled,
+        249 => sr::Outcome::Moot,
         other => return Err(format!("DONE.status: {other} is no outcome")),
     })
 }
@@ -225,13 +225,13 @@
 pub struct Host {
     instances: BTreeMap<u32, Instance>,
     pages: BTreeMap<usize, Vec<Entry>>,
-    actions: Vec<ll::Action>,
+    actions: Vec<sr::Action>,
 }
 
 impl Host {
     /// Hands a batch to its instances and writes the reply, without its line end.
     pub fn answer(&mut self, batch: Batch<'_>, reply: &mut String) -> Result<(), String> {
-        let now = ll::Time(batch.at);
+        let now = sr::Time(batch.at);
         reply.push_str("{\"outbox\":[");
         let start = reply.len();
         for event in batch.happened {
@@ -243,7 +243,7 @@
 
     fn take(
         &mut self,
-        now: ll::Time,
+        now: sr::Time,
         event: Event<'_>,
         reply: &mut String,
         start: usize,
@@ -263,21 +263,21 @@
             }
             Event::Targets(i, mode, page) => {
                 let kind = match &*mode.0 {
-                    "SAVED" => Some(ll::ListKind::Saved),
-                    "FULL" => Some(ll::ListKind::Full),
-                    "INCREMENTAL" => Some(ll::ListKind::Delta),
+                    "SAVED" => Some(sr::ListKind::Saved),
+                    "FULL" => Some(sr::ListKind::Full),
+                    "INCREMENTAL" => Some(sr::ListKind::Delta),
                     "FAILED" => None,
                     other => return Err(format!("TARGETS.mode: {other:?}")),
                 };
                 let instance = find(&mut self.instances, i, "TARGETS")?;
                 let event = match kind {
-                    None => ll::Event::ListFailed,
+                    None => sr::Event::ListFailed,
                     Some(kind) => {
                         let number = page.ok_or("TARGETS.page is missing")?;
                         let page = self.pages.get(&number);
                         let page = page.ok_or(format!("TARGETS.page: no page {number}"))?;
                         let entries = page.iter().map(|entry| instance.entry(entry));
-                        ll::Event::List(kind, entries.collect::<Result<_, _>>()?)
+                        sr::Event::List(kind, entries.collect::<Result<_, _>>()?)
                     }
                 };
                 (i, Some(event))
@@ -298,38 +298,38 @@
                     .classes
                     .get(&class.0)
                     .ok_or_else(|| format!("JOB_IN.kind: no class {:?}", class.0))?;
-                let event = ll::Event::Arrival(ll::Arrival {
-                    request: ll::RequestId(request),
-                    class: ll::ClassId(class),
-                    tenant: tenant.and_then(|name| instance.tenants.get(&name.0)).map(ll::TenantId),
-                    deadline: ll::Time(deadline),
+                let event = sr::Event::Arrival(sr::Arrival {
+                    request: sr::RequestId(request),
+                    class: sr::ClassId(class),
+                    tenant: tenant.and_then(|name| instance.tenants.get(&name.0)).map(sr::TenantId),
+                    deadline: sr::Time(deadline),
                     slots: needs.unwrap_or(1.0),
                     memory: memory.unwrap_or(0.0),
-                    estimate: ll::Span(estimate.unwrap_or(0)),
+                    estimate: sr::Span(estimate.unwrap_or(0)),
                     retry: repeat,
                 });
                 (i, Some(event))
             }
-            Event::Dropped(i, request) => (i, Some(ll::Event::Closed(ll::RequestId(request)))),
-            Event::Begun(i, request, attempt) => (i, Some(ll::Event::Began(ll::RequestId(request), attempt))),
+            Event::Dropped(i, request) => (i, Some(sr::Event::Closed(sr::RequestId(request)))),
+            Event::Begun(i, request, attempt) => (i, Some(sr::Event::Began(sr::RequestId(request), attempt))),
             Event::Pong { instance: i, worker, status, row } => {
                 let instance = find(&mut self.instances, i, "PONG")?;
                 let report = instance.report(row);
                 let Some(worker) = instance.workers.get(&worker.0) else { return Ok(()) };
-                (i, Some(ll::Event::Probed(ll::WorkerId(worker), status == 0, report)))
+                (i, Some(sr::Event::Probed(sr::WorkerId(worker), status == 0, report)))
             }
             Event::Change(i, request, attempt, kind, level) => {
                 let note = match kind {
-                    1 => ll::Note::Started,
-                    2 => ll::Note::Progress(level.unwrap_or(0.0)),
+                    1 => sr::Note::Started,
+                    2 => sr::Note::Progress(level.unwrap_or(0.0)),
                     _ => return Ok(()),
                 };
-                (i, Some(ll::Event::Noted(ll::RequestId(request), attempt, note)))
+                (i, Some(sr::Event::Noted(sr::RequestId(request), attempt, note)))
             }
             Event::Done { instance: i, request, attempt, closed, status, row } => {
                 let instance = find(&mut self.instances, i, "DONE")?;
-                let event = ll::Event::Ended {
-                    request: ll::RequestId(request),
+                let event = sr::Event::Ended {
+                    request: sr::RequestId(request),
                     attempt,
                     outcome: outcome(status)?,
                     closed,
@@ -337,10 +337,10 @@
                 };
                 (i, Some(event))
             }
-            Event::TimeoutFired(i, token) => (i, Some(ll::Event::Timer(token))),
+            Event::TimeoutFired(i, token) => (i, Some(sr::Event::Timer(token))),
             Event::Inbox => return Ok(()),
             Event::Unknown(name) => {
-                eprintln!("leadlanding-benchlink: event {name:?} is unknown and was skipped");
+                eprintln!("sablerun-benchlink: event {name:?} is unknown and was skipped");
                 return Ok(());
             }
         };
@@ -366,21 +366,21 @@
     instances.get_mut(&i).ok_or_else(|| format!("{event}.i: instance {i} was never started"))
 }
 
-fn write(i: u32, action: &ll::Action, workers: &Names, out: &mut String) {
+fn write(i: u32, action: &sr::Action, workers: &Names, out: &mut String) {
     let done = match *action {
-        ll::Action::Send(request, worker) => {
+        sr::Action::Send(request, worker) => {
             write!(out, "[\"DELIVER\",{i},{},{},0]", request.0, workers.quoted[worker.0 as usize])
         }
-        ll::Action::Cancel(request, attempt) => write!(out, "[\"CALL_OFF\",{i},{},{attempt}]", request.0),
-        ll::Action::Refuse(request, hold_off) => write!(out, "[\"REJECT\",{i},{},{}]", request.0, hold_off.0),
-        ll::Action::Fail(request) => write!(out, "[\"DROP_REQUEST\",{i},{}]", request.0),
-        ll::Action::Timer(at, token) => write!(out, "[\"AFTER\",{i},{},{token}]", at.0),
-        ll::Action::Subscribe => write!(out, "[\"WATCH\",{i},true]"),
-        ll::Action::Fetch => write!(out, "[\"PULL\",{i}]"),
-        ll::Action::Probe(worker) => {
+        sr::Action::Cancel(request, attempt) => write!(out, "[\"CALL_OFF\",{i},{},{attempt}]", request.0),
+        sr::Action::Refuse(request, hold_off) => write!(out, "[\"REJECT\",{i},{},{}]", request.0, hold_off.0),
+        sr::Action::Fail(request) => write!(out, "[\"DROP_REQUEST\",{i},{}]", request.0),
+        sr::Action::Timer(at, token) => write!(out, "[\"AFTER\",{i},{},{token}]", at.0),
+        sr::Action::Subscribe => write!(out, "[\"WATCH\",{i},true]"),
+        sr::Action::Fetch => write!(out, "[\"PULL\",{i}]"),
+        sr::Action::Probe(worker) => {
             write!(out, "[\"ASK_LOAD\",{i},{}]", workers.quoted[worker.0 as usize])
         }
-        ll::Action::Release(worker) => {
+        sr::Action::Release(worker) => {
             write!(out, "[\"RELEASE\",{i},{}]", workers.quoted[worker.0 as usize])
         }
     };
--- a/benchlink/src/main.rs
+++ b/benchlink/src/main.rs
@@ -11,7 +11,7 @@
     match serve() {
         Ok(()) => ExitCode::SUCCESS,
         Err(message) => {
-            eprintln!("leadlanding-benchlink: {message}");
+            eprintln!("sablerun-benchlink: {message}");
             ExitCode::FAILURE
         }
     }
--- a/benchlink/tests/wire.rs
+++ b/benchlink/tests/wire.rs
@@ -17,7 +17,7 @@
  "objective": 200000000, "repeat": "dedup", "window": 4000000000}], "tick": 5000000, "zone": "north"}"#;
 
 fn run(input: &str) -> Output {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_leadlanding-benchlink"))
+    let mut child = Command::new(env!("CARGO_BIN_EXE_sablerun-benchlink"))
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,7 +9,7 @@
 //! time and carries out the actions it gets back. The same events and seed give the same actions.
 //!
 //! ```
-//! use leadlanding::*;
+//! use sablerun::*;
 //!
 //! let class = Class {
 //!     objective: Span::from_secs(0.2),
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -2,7 +2,7 @@
 //! on every action. It models no server; the test says what each attempt does.
 #![allow(dead_code)]
 
-use leadlanding::*;
+use sablerun::*;
 use std::collections::BTreeMap;
 
 /// The clock that the tests start at.
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::*;
-use leadlanding::*;
+use sablerun::*;
 
 fn two_workers(seed: u64) -> World {
     let mut world = World::new(Settings { zone: None, ..settings() }, seed);
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -3,9 +3,9 @@
 mod common;
 
 use common::*;
-use leadlanding::*;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+use sablerun::*;
 
 /// One step of a generated sequence.
 #[derive(Clone, Debug)]
