--- /dev/null
+++ b/node/src/core.rs
@@ -0,0 +1,535 @@
+//! The reducer: every change of the dispatcher's state is one [`Core::step`], `(now, input)` in,
+//! [`Effect`]s out. It owns the requests taken and not yet closed, their attempts, the timers and
+//! the decision module, and sees to it that each request gets one final answer, by its deadline,
+//! and that a runner holds one attempt of a request at a time. It must never touch a socket, read a
+//! clock, know a wire or make a choice that is the module's: fronts and links do the talking.
+
+use bytes::Bytes;
+use sablerun as sr;
+use sablerun_settings::Tables;
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap, HashMap, VecDeque};
+use std::rc::Rc;
+
+/// Whoever waits for an answer: a number that a front made up.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Ticket(pub u64);
+
+/// An attempt of a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct AttemptId {
+    /// The request, by the module's number.
+    pub request: u32,
+    /// The attempt's number, from 0.
+    pub number: u32,
+}
+
+/// A request as a front hands it in. `J` is what links pass on; the core never looks into it.
+#[derive(Clone, Debug)]
+pub struct Arrival<J> {
+    pub ticket: Ticket,
+    /// Its id on the wires.
+    pub id: Rc<str>,
+    pub class: u32,
+    pub tenant: Option<u32>,
+    /// When the client gives up.
+    pub deadline: sr::Time,
+    pub slots: f64,
+    pub memory: f64,
+    pub estimate: sr::Span,
+    pub retry: bool,
+    pub job: J,
+}
+
+/// Who tells of runners: a whole list from one source says nothing of the others' runners.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub enum Source {
+    Discovery,
+    /// Runners that connected to a front by themselves.
+    #[allow(dead_code, reason = "the second front is on its way")]
+    Callers,
+}
+
+/// A runner as a list names it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Listed {
+    pub name: String,
+    pub zone: String,
+    pub kind: String,
+    pub cell: u32,
+    pub standing: sr::Standing,
+    pub size: f64,
+    pub up_since: Option<sr::Time>,
+}
+
+/// The final answer to a request.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Answer {
+    /// What a runner made.
+    Served(Bytes),
+    /// Trying again is harmless, but not before this has passed.
+    Refused(sr::Span),
+    /// Nothing is promised.
+    Failed(&'static str),
+}
+
+/// How an attempt ended, as a link saw it.
+#[derive(Clone, Debug)]
+pub struct Ending {
+    pub outcome: sr::Outcome,
+    /// What the runner made, where it served.
+    pub result: Bytes,
+    pub report: Option<sr::Report>,
+}
+
+impl Ending {
+    /// An end without result or report.
+    pub fn bare(outcome: sr::Outcome) -> Ending {
+        Ending { outcome, result: Bytes::new(), report: None }
+    }
+}
+
+/// What has happened.
+#[derive(Clone, Debug)]
+pub enum Input<J> {
+    Arrived(Arrival<J>),
+    /// The client has left before its answer.
+    ClientGone(Ticket),
+    /// A runner tells that a job has started, by the request's id and its own name.
+    Started {
+        id: String,
+        from: String,
+    },
+    /// A runner tells how far a job is.
+    Progress {
+        id: String,
+        from: String,
+        share: f64,
+    },
+    /// A runner tells how a job ended.
+    Told {
+        id: String,
+        from: String,
+        ending: Ending,
+    },
+    /// A link saw an attempt end.
+    Ended(AttemptId, Ending),
+    Probed {
+        runner: String,
+        ok: bool,
+        report: Option<sr::Report>,
+    },
+    List(Source, sr::ListKind, Vec<Listed>),
+    /// A call for the list failed or its watch broke.
+    ListFailed,
+    /// Time has passed: a timer may be due.
+    Due,
+}
+
+/// What is to be done.
+#[derive(Clone, Debug)]
+pub enum Effect<J> {
+    Answer(Ticket, Answer),
+    Start {
+        attempt: AttemptId,
+        id: Rc<str>,
+        runner: String,
+        job: J,
+        deadline: sr::Time,
+    },
+    /// Stop waiting for an attempt and let its runner know.
+    GiveUp(AttemptId),
+    /// An attempt has ended by itself: whatever a link holds of it can go.
+    Over(AttemptId),
+    Subscribe,
+    Fetch,
+    Probe(String),
+    Release(String),
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Timer {
+    Module(u64),
+    Deadline(u32),
+}
+
+struct Attempt {
+    runner: u32,
+    live: bool,
+}
+
+struct Request<J> {
+    ticket: Ticket,
+    id: Rc<str>,
+    deadline: sr::Time,
+    job: J,
+    answered: bool,
+    attempts: Vec<Attempt>,
+}
+
+/// Counts for the log.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Tally {
+    pub taken: u64,
+    pub served: u64,
+    pub refused: u64,
+    pub failed: u64,
+    pub left: u64,
+    pub attempts: u64,
+}
+
+/// The dispatcher's state.
+pub struct Core<J> {
+    balancer: sr::Balancer,
+    tables: Tables,
+    /// Most requests held at once; more are refused unseen.
+    most: usize,
+    hold_off: sr::Span,
+    next: u32,
+    requests: HashMap<u32, Request<J>>,
+    ids: HashMap<Rc<str>, u32>,
+    tickets: HashMap<Ticket, u32>,
+    timers: BinaryHeap<Reverse<(sr::Time, u64, Timer)>>,
+    timers_set: u64,
+    /// What each source last said of its runners.
+    lists: BTreeMap<(Source, u32), sr::ListEntry>,
+    /// Events for the module that its own actions brought about.
+    events: VecDeque<sr::Event>,
+    actions: Vec<sr::Action>,
+    effects: Vec<Effect<J>>,
+    tally: Tally,
+}
+
+impl<J: Clone> Core<J> {
+    /// A dispatcher that starts now, holds `most` requests at once and was told `known` of its runners.
+    ///
+    /// # Errors
+    ///
+    /// Names the setting that makes no sense.
+    pub fn new(
+        settings: sr::Settings,
+        tables: Tables,
+        seed: u64,
+        now: sr::Time,
+        most: usize,
+    ) -> Result<Core<J>, sr::SettingsError> {
+        let shortest = settings.classes.iter().map(|class| class.objective).min();
+        Ok(Core {
+            hold_off: settings.max_hold_off.min(shortest.unwrap_or_default()),
+            balancer: sr::Balancer::new(settings, seed, now)?,
+            tables,
+            most,
+            next: 0,
+            requests: HashMap::new(),
+            ids: HashMap::new(),
+            tickets: HashMap::new(),
+            timers: BinaryHeap::new(),
+            timers_set: 0,
+            lists: BTreeMap::new(),
+            events: VecDeque::new(),
+            actions: Vec::new(),
+            effects: Vec::new(),
+            tally: Tally::default(),
+        })
+    }
+
+    /// The name tables, for fronts that check what clients name.
+    pub fn tables(&self) -> &Tables {
+        &self.tables
+    }
+
+    /// Requests that have no final answer yet.
+    pub fn open(&self) -> usize {
+        self.tickets.len()
+    }
+
+    /// What has been counted so far.
+    pub fn tally(&self) -> Tally {
+        self.tally
+    }
+
+    /// When the next timer is due.
+    pub fn due(&self) -> Option<sr::Time> {
+        self.timers.peek().map(|Reverse((at, ..))| *at)
+    }
+
+    /// Takes one input and says what is to be done, in this order.
+    pub fn step(&mut self, now: sr::Time, input: Input<J>) -> Vec<Effect<J>> {
+        match input {
+            Input::Arrived(arrival) => self.arrived(now, arrival),
+            Input::ClientGone(ticket) => {
+                if let Some(&request) = self.tickets.get(&ticket) {
+                    self.tally.left += 1;
+                    self.answered(request);
+                    self.tell(now, sr::Event::Closed(sr::RequestId(request)));
+                    self.forget(request);
+                }
+            }
+            Input::Started { id, from } => self.noted(now, &id, &from, sr::Note::Started),
+            Input::Progress { id, from, share } => self.noted(now, &id, &from, sr::Note::Progress(share)),
+            Input::Told { id, from, ending } => {
+                if let Some(attempt) = self.live(&id, &from) {
+                    self.ended(now, attempt, ending);
+                }
+            }
+            Input::Ended(attempt, ending) => self.ended(now, attempt, ending),
+            Input::Probed { runner, ok, report } => {
+                if let Some(runner) = self.tables.workers.get(&runner) {
+                    self.tell(now, sr::Event::Probed(sr::WorkerId(runner), ok, report));
+                }
+            }
+            Input::List(source, kind, listed) => self.list(now, source, kind, listed),
+            Input::ListFailed => self.tell(now, sr::Event::ListFailed),
+            Input::Due => {}
+        }
+        self.run_timers(now);
+        std::mem::take(&mut self.effects)
+    }
+
+    fn arrived(&mut self, now: sr::Time, arrival: Arrival<J>) {
+        self.tally.taken += 1;
+        let Arrival { ticket, id, class, tenant, deadline, slots, memory, estimate, retry, job } = arrival;
+        if self.tickets.len() >= self.most {
+            // Nothing of it has run: a refusal is safe for every class.
+            self.tally.refused += 1;
+            self.effects.push(Effect::Answer(ticket, Answer::Refused(self.hold_off)));
+            return;
+        }
+        // Runners tell requests apart by their ids: a second one under a live id can't be sent.
+        if self.ids.contains_key(&id) {
+            self.tally.failed += 1;
+            self.effects.push(Effect::Answer(ticket, Answer::Failed("a request with this id is under way")));
+            return;
+        }
+        let number = self.next;
+        self.next = self.next.wrapping_add(1);
+        self.ids.insert(id.clone(), number);
+        self.tickets.insert(ticket, number);
+        let request = Request { ticket, id, deadline, job, answered: false, attempts: Vec::new() };
+        self.requests.insert(number, request);
+        self.set_timer(deadline, Timer::Deadline(number));
+        let arrival = sr::Arrival {
+            request: sr::RequestId(number),
+            class: sr::ClassId(class),
+            tenant: tenant.map(sr::TenantId),
+            deadline,
+            slots,
+            memory,
+            estimate,
+            retry,
+        };
+        self.tell(now, sr::Event::Arrival(arrival));
+    }
+
+    /// The live attempt that a runner's word is about. Guards against words that are late, repeated or
+    /// about an attempt given up: id and name must both match one that is still out.
+    fn live(&self, id: &str, from: &str) -> Option<AttemptId> {
+        let (&request, runner) = (self.ids.get(id)?, self.tables.workers.get(from)?);
+        let attempts = &self.requests.get(&request)?.attempts;
+        let number = attempts.iter().position(|a| a.live && a.runner == runner)?;
+        Some(AttemptId { request, number: number as u32 })
+    }
+
+    fn noted(&mut self, now: sr::Time, id: &str, from: &str, note: sr::Note) {
+        if let Some(AttemptId { request, number }) = self.live(id, from) {
+            self.tell(now, sr::Event::Noted(sr::RequestId(request), number, note));
+        }
+    }
+
+    fn ended(&mut self, now: sr::Time, attempt: AttemptId, ending: Ending) {
+        let request = self.requests.get_mut(&attempt.request);
+        let out = request.and_then(|r| r.attempts.get_mut(attempt.number as usize));
+        let Some(out) = out.filter(|a| a.live) else { return };
+        out.live = false;
+        self.effects.push(Effect::Over(attempt));
+        if ending.outcome == sr::Outcome::Ok {
+            self.answer(attempt.request, Answer::Served(ending.result));
+        }
+        let closed = self.requests[&attempt.request].answered;
+        self.tell(
+            now,
+            sr::Event::Ended {
+                request: sr::RequestId(attempt.request),
+                attempt: attempt.number,
+                outcome: ending.outcome,
+                closed,
+                report: ending.report,
+            },
+        );
+        self.forget(attempt.request);
+    }
+
+    /// Gives the final answer, unless there has been one.
+    fn answer(&mut self, request: u32, answer: Answer) {
+        let Some(held) = self.requests.get(&request).filter(|r| !r.answered) else { return };
+        match answer {
+            Answer::Served(_) => self.tally.served += 1,
+            Answer::Refused(_) => self.tally.refused += 1,
+            Answer::Failed(_) => self.tally.failed += 1,
+        }
+        self.effects.push(Effect::Answer(held.ticket, answer));
+        self.answered(request);
+    }
+
+    fn answered(&mut self, request: u32) {
+        if let Some(held) = self.requests.get_mut(&request) {
+            held.answered = true;
+            self.tickets.remove(&held.ticket);
+        }
+    }
+
+    /// Drops a request that is answered and has no attempt out.
+    fn forget(&mut self, request: u32) {
+        if self.requests.get(&request).is_some_and(|r| r.answered && r.attempts.iter().all(|a| !a.live)) {
+            let held = self.requests.remove(&request).expect("looked up above");
+            self.ids.remove(&held.id);
+        }
+    }
+
+    fn list(&mut self, now: sr::Time, source: Source, kind: sr::ListKind, listed: Vec<Listed>) {
+        let mut changed: Vec<sr::ListEntry> = Vec::with_capacity(listed.len());
+        for runner in listed {
+            changed.push(sr::ListEntry {
+                worker: sr::WorkerId(self.tables.workers.number(&runner.name)),
+                zone: sr::ZoneId(self.tables.zones.number(&runner.zone)),
+                kind: sr::KindId(self.tables.kinds.number(&runner.kind)),
+                cell: runner.cell,
+                standing: runner.standing,
+                size: runner.size,
+                up_since: runner.up_since,
+            });
+        }
+        if kind == sr::ListKind::Delta {
+            for entry in &changed {
+                let key = (source, entry.worker.0);
+                match entry.standing {
+                    sr::Standing::Gone => self.lists.remove(&key),
+                    _ => self.lists.insert(key, entry.clone()),
+                };
+            }
+        } else {
+            // Whole for its source alone: the others' runners stay on the list.
+            self.lists.retain(|(from, _), _| *from != source);
+            self.lists.extend(changed.iter().map(|entry| ((source, entry.worker.0), entry.clone())));
+            changed
+                .extend(self.lists.iter().filter(|((from, _), _)| *from != source).map(|(_, e)| e.clone()));
+        }
+        self.tell(now, sr::Event::List(kind, changed));
+    }
+
+    fn set_timer(&mut self, at: sr::Time, timer: Timer) {
+        self.timers_set += 1;
+        self.timers.push(Reverse((at, self.timers_set, timer)));
+    }
+
+    fn run_timers(&mut self, now: sr::Time) {
+        // Timers that the due ones set wait for the next step, so that a step always ends.
+        let mut due = Vec::new();
+        while let Some(&Reverse((at, _, timer))) = self.timers.peek()
+            && at <= now
+        {
+            self.timers.pop();
+            due.push(timer);
+        }
+        for timer in due {
+            match timer {
+                Timer::Module(token) => self.tell(now, sr::Event::Timer(token)),
+                Timer::Deadline(request) => self.overdue(now, request),
+            }
+        }
+    }
+
+    /// The client's deadline: what is still out has timed out, and whatever the module says, the
+    /// client hears now.
+    fn overdue(&mut self, now: sr::Time, request: u32) {
+        let Some(held) = self.requests.get_mut(&request) else { return };
+        let live = held.attempts.iter_mut().enumerate().filter(|(_, a)| a.live);
+        let out: Vec<u32> = live.map(|(n, _)| n as u32).collect();
+        for number in out {
+            let attempt = AttemptId { request, number };
+            self.effects.push(Effect::GiveUp(attempt));
+            self.ended(now, attempt, Ending::bare(sr::Outcome::Timeout));
+        }
+        if self.requests.get(&request).is_some_and(|r| !r.answered) {
+            self.answer(request, Answer::Failed("not done by the deadline"));
+            self.tell(now, sr::Event::Closed(sr::RequestId(request)));
+        }
+        self.forget(request);
+    }
+
+    /// Tells the module, carries out what it asks for, and tells it what came of that.
+    fn tell(&mut self, now: sr::Time, event: sr::Event) {
+        self.events.push_back(event);
+        while let Some(event) = self.events.pop_front() {
+            let mut actions = std::mem::take(&mut self.actions);
+            self.balancer.handle(now, event, &mut actions);
+            for action in actions.drain(..) {
+                self.act(action);
+            }
+            self.actions = actions;
+        }
+    }
+
+    fn act(&mut self, action: sr::Action) {
+        match action {
+            sr::Action::Send(id, worker) => self.start(id.0, worker.0),
+            sr::Action::Cancel(id, number) => {
+                let request = self.requests.get_mut(&id.0);
+                let attempt = request.and_then(|r| r.attempts.get_mut(number as usize));
+                if let Some(attempt) = attempt.filter(|a| a.live) {
+                    attempt.live = false;
+                    self.effects.push(Effect::GiveUp(AttemptId { request: id.0, number }));
+                    self.end_for_module(id.0, number, sr::Outcome::Cancelled);
+                    self.forget(id.0);
+                }
+            }
+            sr::Action::Refuse(id, hold_off) => {
+                self.answer(id.0, Answer::Refused(hold_off));
+                self.forget(id.0);
+            }
+            sr::Action::Fail(id) => {
+                self.answer(id.0, Answer::Failed("no attempt was answered in time"));
+                self.forget(id.0);
+            }
+            sr::Action::Timer(at, token) => self.set_timer(at, Timer::Module(token)),
+            sr::Action::Subscribe => self.effects.push(Effect::Subscribe),
+            sr::Action::Fetch => self.effects.push(Effect::Fetch),
+            sr::Action::Probe(worker) => {
+                self.effects.push(Effect::Probe(self.tables.workers.name(worker.0).to_owned()));
+            }
+            sr::Action::Release(worker) => {
+                self.effects.push(Effect::Release(self.tables.workers.name(worker.0).to_owned()));
+            }
+        }
+    }
+
+    fn start(&mut self, request: u32, runner: u32) {
+        let Some(held) = self.requests.get_mut(&request) else {
+            self.end_for_module(request, 0, sr::Outcome::Moot);
+            return;
+        };
+        let number = held.attempts.len() as u32;
+        // A runner gets one attempt of a request at a time.
+        let there = held.attempts.iter().any(|a| a.live && a.runner == runner);
+        let moot = there || held.answered;
+        held.attempts.push(Attempt { runner, live: !moot });
+        if moot {
+            self.end_for_module(request, number, sr::Outcome::Moot);
+            return;
+        }
+        self.tally.attempts += 1;
+        self.effects.push(Effect::Start {
+            attempt: AttemptId { request, number },
+            id: held.id.clone(),
+            runner: self.tables.workers.name(runner).to_owned(),
+            job: held.job.clone(),
+            deadline: held.deadline,
+        });
+    }
+
+    fn end_for_module(&mut self, request: u32, attempt: u32, outcome: sr::Outcome) {
+        let closed = self.requests.get(&request).is_none_or(|r| r.answered);
+        let request = sr::RequestId(request);
+        self.events.push_back(sr::Event::Ended { request, attempt, outcome, closed, report: None });
+    }
+}
--- /dev/null
+++ b/node/src/limits.rs
@@ -0,0 +1,79 @@
+//! Every limit of the program: sizes, counts and times. Filled once at start, from the limits that
+//! the machine states and the settings, and handed down; nothing else may hold such a figure, and
+//! nothing here changes while the program runs.
+
+use sablerun_settings::Env;
+use std::time::Duration;
+
+/// Sizes, counts and times that the program keeps to.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Limits {
+    /// Largest body of a message, in bytes.
+    pub body: usize,
+    /// Most requests held at once.
+    pub open: usize,
+    /// Most connections from clients and runners.
+    pub clients: usize,
+    /// Most connections to runners.
+    pub runners: usize,
+    /// Wait before a listener that ran out of descriptors tries again.
+    pub accept_pause: Duration,
+    /// Time for a client to write a request's head.
+    pub head: Duration,
+    /// Time for a client to write a request's body.
+    pub body_wait: Duration,
+    /// Time for which a client's idle connection stays open.
+    pub keep_alive: Duration,
+    /// Time for a connection to a runner to come up.
+    pub connect: Duration,
+    /// Idle time after which a connection to a runner is not used any more.
+    pub idle: Duration,
+    /// Time for a probe's answer.
+    pub probe: Duration,
+    /// Time for a runner to confirm that it gives a job up.
+    pub give_up: Duration,
+    /// Time for discovery to begin its answer.
+    pub list: Duration,
+    /// Time without a line after which a watch counts as broken.
+    pub watch_silence: Duration,
+    /// Longest line of a watch, in bytes.
+    pub watch_line: usize,
+    /// Time for which the program goes on as usual after SIGTERM.
+    pub spell: Duration,
+    /// Time after SIGTERM by which it ends even if something is unanswered.
+    pub stop: Duration,
+}
+
+impl Limits {
+    /// Limits for a machine with so many descriptors and so much memory.
+    pub fn new(sockets: usize, memory_mb: usize, env: &Env) -> Limits {
+        // Standard streams, the runtime's own, the listeners, the watch and a call to discovery.
+        let free = sockets.saturating_sub(40).max(16);
+        let idle = Duration::from_nanos(env.limits.conn_idle.unwrap_or(10_000_000_000));
+        let body = 64 * 1024;
+        let clients = free * 3 / 5;
+        // A quarter of the memory may be bodies.
+        let fits = memory_mb.max(16) * 1024 * 1024 / 4 / body;
+        let told = env.limits.max_open.map_or(usize::MAX, |most| usize::try_from(most).unwrap_or(usize::MAX));
+        let longest = env.services.iter().map(|class| class.deadline).max().unwrap_or(0);
+        Limits {
+            body,
+            open: fits.min(told).max(1),
+            clients,
+            runners: free - clients,
+            accept_pause: Duration::from_millis(20),
+            head: Duration::from_secs(10),
+            body_wait: Duration::from_secs(10),
+            keep_alive: Duration::from_secs(60),
+            connect: Duration::from_nanos(env.limits.connect_timeout.unwrap_or(250_000_000)),
+            idle: idle * 7 / 10,
+            probe: Duration::from_millis(500),
+            give_up: Duration::from_secs(1),
+            list: Duration::from_secs(3),
+            watch_silence: Duration::from_millis(3500),
+            watch_line: 4 * 1024 * 1024,
+            spell: Duration::from_millis(700),
+            stop: Duration::from_nanos(longest) + Duration::from_millis(1000),
+        }
+    }
+}
--- /dev/null
+++ b/node/src/main.rs
@@ -0,0 +1,110 @@
+//! The dispatcher `sablerun`: reads what it is told, opens its sockets and runs until it is told to
+//! end. It owns the order of starting and stopping and must never decide or translate anything.
+
+mod core;
+mod limits;
+mod net;
+mod runtime;
+
+use crate::core::{Core, Input};
+use crate::limits::Limits;
+use crate::net::{discovery, platform, runners};
+use crate::runtime::{Clock, Runtime};
+use sablerun as sr;
+use sablerun_settings::Env;
+use std::net::SocketAddr;
+use std::process::ExitCode;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::signal::unix::{SignalKind, signal};
+
+/// What `$NODE_CONFIG` holds.
+#[derive(serde::Deserialize)]
+struct Config {
+    name: String,
+    listen: SocketAddr,
+    discovery: SocketAddr,
+    seed: String,
+    limits: Machine,
+    #[serde(default)]
+    known: Option<discovery::Hosts>,
+    settings: Env,
+}
+
+/// The machine's limits.
+#[derive(serde::Deserialize)]
+struct Machine {
+    memory_mb: usize,
+    sockets: usize,
+}
+
+fn main() -> ExitCode {
+    let env = env_logger::Env::default().default_filter_or("info");
+    env_logger::Builder::from_env(env).format_timestamp_millis().init();
+    match read_config().and_then(|config| actix_rt::System::new().block_on(run(config))) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(message) => {
+            log::error!("{message}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn read_config() -> Result<Config, String> {
+    let path = std::env::var("NODE_CONFIG").map_err(|_| "NODE_CONFIG is not set".to_owned())?;
+    let text = std::fs::read_to_string(&path).map_err(|e| format!("NODE_CONFIG: {path}: {e}"))?;
+    let mut json = serde_json::Deserializer::from_str(&text);
+    serde_path_to_error::deserialize(&mut json)
+        .map_err(|e| format!("NODE_CONFIG: {}: {}", e.path(), e.inner()))
+}
+
+async fn run(config: Config) -> Result<(), String> {
+    let (settings, tables) = config.settings.settle().map_err(|e| format!("NODE_CONFIG: settings: {e}"))?;
+    let seed = u64::from_str_radix(&config.seed, 16).map_err(|e| format!("NODE_CONFIG: seed: {e}"))?;
+    let limits = Limits::new(config.limits.sockets, config.limits.memory_mb, &config.settings);
+    let keyed = settings.classes.iter().map(|c| c.effect != sr::Effect::Safe).collect();
+    let with_tenants = !settings.tenants.is_empty();
+    let clock = Clock::new();
+    let core = Core::new(settings, tables, seed, clock.now(), limits.open)
+        .map_err(|e| format!("NODE_CONFIG: settings: {e}"))?;
+    let runtime = Runtime::new(core, clock, limits);
+
+    let runners = runners::Runners::new(&runtime);
+    runtime.add_link(runners.clone());
+    let roster = discovery::Discovery::new(&runtime, &runners, config.discovery);
+    runtime.set_roster(roster.clone());
+    let mut terminate = signal(SignalKind::terminate()).map_err(|e| format!("SIGTERM: {e}"))?;
+    let mut interrupt = signal(SignalKind::interrupt()).map_err(|e| format!("SIGINT: {e}"))?;
+    let listener = platform::listen(config.listen).map_err(|e| format!("listen: {}: {e}", config.listen))?;
+
+    if let Some(known) = config.known {
+        roster.take(sr::ListKind::Saved, known);
+    } else {
+        runtime.feed(Input::List(crate::core::Source::Discovery, sr::ListKind::Saved, Vec::new()));
+    }
+    let timer = runtime.clone();
+    actix_rt::spawn(async move { timer.keep_time().await });
+    let front = platform::Front::new(&runtime, keyed, with_tenants);
+    let accepting = actix_rt::spawn(front.clone().serve(listener));
+    log::info!("{} ready on {}, discovery at {}", config.name, config.listen, config.discovery);
+
+    let mut minute = tokio::time::interval(Duration::from_secs(10));
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => break,
+            _ = interrupt.recv() => break,
+            _ = minute.tick() => log::info!("{}", runtime.summary()),
+        }
+    }
+    log::info!("told to end: {}", runtime.summary());
+    runtime.stop();
+    tokio::time::sleep(runtime.limits.spell).await;
+    accepting.abort();
+    front.close_idle();
+    runtime.answered(runtime.limits.stop - runtime.limits.spell).await;
+    // Whatever was answered last is still on its way out.
+    front.drained(Duration::from_millis(100)).await;
+    log::info!("ends: {}", runtime.summary());
+    drop(Rc::clone(&runtime));
+    Ok(())
+}
--- /dev/null
+++ b/node/src/net/discovery.rs
@@ -0,0 +1,227 @@
+//! Discovery: the watch on the list of runners and single calls for the whole of it. It owns the
+//! version that the dispatcher holds and the one watch, turns hosts into the core's list, and tells
+//! the link where runners listen. It must never hold a change back, nor decide when to ask again:
+//! a watch that breaks or falls silent is reported, and the module asks.
+
+use crate::core::{Input, Listed, Source};
+use crate::net::runners::{Pool, Runners};
+use crate::runtime::{Roster, Runtime};
+use awc::Client;
+use awc::http::StatusCode;
+use bytes::{Buf, BytesMut};
+use futures_util::StreamExt;
+use sablerun as sr;
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::{Rc, Weak};
+use tokio::task::AbortHandle;
+
+/// A list or a change of it, as discovery writes it.
+#[derive(Clone, Debug, Default, serde::Deserialize)]
+pub struct Hosts {
+    #[serde(default)]
+    pub seq: u64,
+    #[serde(default)]
+    pub whole: bool,
+    #[serde(default)]
+    pub hosts: Vec<Host>,
+}
+
+/// One runner, as discovery writes it.
+#[derive(Clone, Debug, serde::Deserialize)]
+pub struct Host {
+    host: String,
+    dial: String,
+    #[serde(default)]
+    site: String,
+    #[serde(default)]
+    class: String,
+    #[serde(default)]
+    block: u32,
+    health: String,
+    #[serde(default)]
+    share: Option<f64>,
+    #[serde(default)]
+    born_ms: u64,
+}
+
+/// The way to discovery.
+pub struct Discovery {
+    runtime: Weak<Runtime>,
+    runners: Rc<Runners>,
+    client: Client,
+    at: SocketAddr,
+    seq: Cell<u64>,
+    watch: RefCell<Option<AbortHandle>>,
+    this: Weak<Discovery>,
+}
+
+impl Discovery {
+    pub fn new(runtime: &Rc<Runtime>, runners: &Rc<Runners>, at: SocketAddr) -> Rc<Discovery> {
+        let pool = Pool::new(&runtime.limits);
+        Rc::new_cyclic(|this| Discovery {
+            runtime: Rc::downgrade(runtime),
+            runners: runners.clone(),
+            client: pool.client(&runtime.limits),
+            at,
+            seq: Cell::new(0),
+            watch: RefCell::default(),
+            this: this.clone(),
+        })
+    }
+
+    /// Takes a list or a change of it.
+    pub fn take(&self, kind: sr::ListKind, hosts: Hosts) {
+        let Some(runtime) = self.runtime.upgrade() else { return };
+        // Guards against a change that a newer list has overtaken; a whole list always holds.
+        if kind == sr::ListKind::Delta && hosts.seq < self.seq.get() {
+            return;
+        }
+        self.seq.set(hosts.seq);
+        let mut listed = Vec::with_capacity(hosts.hosts.len());
+        for host in hosts.hosts {
+            let standing = match host.health.as_str() {
+                "active" => sr::Standing::Ready,
+                "leaving" => sr::Standing::Draining,
+                "left" => sr::Standing::Gone,
+                other => {
+                    // Whatever it means, it is not a call for work.
+                    log::warn!("discovery says {other:?} of runner {}: taken for draining", host.host);
+                    sr::Standing::Draining
+                }
+            };
+            match host.dial.parse() {
+                Ok(at) => self.runners.address(&host.host, at),
+                Err(e) if standing == sr::Standing::Ready => {
+                    log::warn!("discovery: address {:?} of runner {}: {e}", host.dial, host.host);
+                    continue;
+                }
+                Err(_) => {}
+            }
+            listed.push(Listed {
+                name: host.host,
+                zone: host.site,
+                kind: host.class,
+                cell: host.block,
+                standing,
+                size: host.share.unwrap_or(1.0),
+                up_since: runtime.clock.unix_ms(host.born_ms),
+            });
+        }
+        log::debug!("list {kind:?} {}: {} entries", hosts.seq, listed.len());
+        runtime.feed(Input::List(Source::Discovery, kind, listed));
+    }
+
+    fn take_line(&self, line: &[u8]) -> Result<(), String> {
+        if line.trim_ascii().is_empty() {
+            return Ok(());
+        }
+        let hosts: Hosts = serde_json::from_slice(line).map_err(|e| format!("a line can't be read: {e}"))?;
+        let kind = if hosts.whole { sr::ListKind::Full } else { sr::ListKind::Delta };
+        self.take(kind, hosts);
+        Ok(())
+    }
+
+    /// Reads the watch until it ends; says why it did.
+    async fn follow(&self) -> Result<(), String> {
+        let runtime = self.runtime.upgrade().ok_or("the program ends")?;
+        let limits = &runtime.limits;
+        let url = format!("http://{}/discovery/hosts?stream=1&index={}", self.at, self.seq.get());
+        let request = self.client.get(url).address(self.at).no_decompress().send();
+        let response = tokio::time::timeout(limits.list, request).await;
+        let mut response = response.map_err(|_| "no answer")?.map_err(|e| e.to_string())?;
+        if response.status() != StatusCode::OK {
+            return Err(format!("answered {}", response.status()));
+        }
+        let mut lines = Lines::default();
+        loop {
+            // An empty line comes every 2 s: silence is a connection that nobody speaks on any more.
+            let chunk = tokio::time::timeout(limits.watch_silence, response.next()).await;
+            let Some(chunk) = chunk.map_err(|_| "silent")? else { return Err("ended".to_owned()) };
+            lines.extend(&chunk.map_err(|e| e.to_string())?);
+            while let Some(line) = lines.next() {
+                self.take_line(&line)?;
+            }
+            if lines.unfinished() > limits.watch_line {
+                return Err("a line is too long".to_owned());
+            }
+        }
+    }
+
+    async fn whole(&self) -> Result<(), String> {
+        let runtime = self.runtime.upgrade().ok_or("the program ends")?;
+        let url = format!("http://{}/discovery/hosts", self.at);
+        let call = async {
+            let request = self.client.get(url).address(self.at).no_decompress();
+            let mut response = request.send().await.map_err(|e| e.to_string())?;
+            if response.status() != StatusCode::OK {
+                return Err(format!("answered {}", response.status()));
+            }
+            response.body().limit(runtime.limits.watch_line).await.map_err(|e| e.to_string())
+        };
+        let body = tokio::time::timeout(runtime.limits.list, call).await.map_err(|_| "no answer")??;
+        self.take_line(&body)
+    }
+
+    fn failed(&self, what: &str, why: &str) {
+        log::warn!("discovery: {what} failed: {why}");
+        if let Some(runtime) = self.runtime.upgrade() {
+            runtime.feed(Input::ListFailed);
+        }
+    }
+}
+
+impl Roster for Discovery {
+    fn subscribe(&self) {
+        let Some(this) = self.this.upgrade() else { return };
+        let task = actix_rt::spawn(async move {
+            if let Err(why) = this.follow().await {
+                this.failed("watch", &why);
+            }
+        });
+        if let Some(before) = self.watch.borrow_mut().replace(task.abort_handle()) {
+            before.abort();
+        }
+    }
+
+    fn fetch(&self) {
+        let Some(this) = self.this.upgrade() else { return };
+        actix_rt::spawn(async move {
+            if let Err(why) = this.whole().await {
+                this.failed("call", &why);
+            }
+        });
+    }
+}
+
+/// Lines out of chunks that end anywhere.
+#[derive(Default)]
+struct Lines {
+    bytes: BytesMut,
+    searched: usize,
+}
+
+impl Lines {
+    fn extend(&mut self, chunk: &[u8]) {
+        self.bytes.extend_from_slice(chunk);
+    }
+
+    fn next(&mut self) -> Option<BytesMut> {
+        match self.bytes[self.searched..].iter().position(|&b| b == b'\n') {
+            Some(at) => {
+                let line = self.bytes.split_to(self.searched + at);
+                self.bytes.advance(1);
+                self.searched = 0;
+                Some(line)
+            }
+            None => {
+                self.searched = self.bytes.len();
+                None
+            }
+        }
+    }
+
+    fn unfinished(&self) -> usize {
+        self.bytes.len()
+    }
+}
--- /dev/null
+++ b/node/src/net/mod.rs
@@ -0,0 +1,6 @@
+//! The wires: each file speaks one of them, turning its messages into the core's inputs and the
+//! core's effects into messages. None of them may decide anything.
+
+pub mod discovery;
+pub mod platform;
+pub mod runners;
--- /dev/null
+++ b/node/src/net/platform.rs
@@ -0,0 +1,427 @@
+//! The platform's front: clients' requests, runners' call-backs and the ready check, all on the one
+//! address that the dispatcher is given. It owns the listener and the connections accepted there,
+//! checks what clients write and words the answers. It must never give an answer of its own to a
+//! request it has handed to the core, nor keep one back.
+
+use crate::core::{Answer, Arrival, Ending, Input, Ticket};
+use crate::net::runners::{load_object, result_bytes};
+use crate::runtime::{Job, Runtime};
+use actix_http::header::{self, HeaderMap, HeaderName};
+use actix_http::{HttpMessage, HttpService, KeepAlive, Method, Request, Response, StatusCode};
+use actix_service::{Service, ServiceFactory, fn_service};
+use bytes::{Bytes, BytesMut};
+use futures_util::StreamExt;
+use sablerun as sr;
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpSocket};
+use tokio::sync::Notify;
+use tokio::task::AbortHandle;
+
+/// Binds the dispatcher's address.
+pub fn listen(at: SocketAddr) -> std::io::Result<TcpListener> {
+    let socket = if at.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+    // Guards against a restart that finds its address held by connections of the one before.
+    socket.set_reuseaddr(true)?;
+    socket.bind(at)?;
+    socket.listen(1024)
+}
+
+/// One accepted connection.
+struct Connection {
+    /// Requests read from it that have no whole answer yet: one at the most.
+    busy: Cell<u32>,
+}
+
+/// The front.
+pub struct Front {
+    runtime: Rc<Runtime>,
+    /// Whether each class is keyed.
+    keyed: Vec<bool>,
+    with_tenants: bool,
+    connections: RefCell<HashMap<u64, (Rc<Connection>, AbortHandle)>>,
+    next: Cell<u64>,
+    closed: Notify,
+    /// Connection that is being set up, for the callback that gives its requests a way to find it.
+    opening: RefCell<Option<Rc<Connection>>>,
+}
+
+impl Front {
+    pub fn new(runtime: &Rc<Runtime>, keyed: Vec<bool>, with_tenants: bool) -> Rc<Front> {
+        Rc::new(Front {
+            runtime: runtime.clone(),
+            keyed,
+            with_tenants,
+            connections: RefCell::default(),
+            next: Cell::new(0),
+            closed: Notify::new(),
+            opening: RefCell::default(),
+        })
+    }
+
+    /// Accepts connections; never ends.
+    pub async fn serve(self: Rc<Self>, listener: TcpListener) {
+        let limits = &self.runtime.limits;
+        let (front, opener) = (self.clone(), self.clone());
+        let service = HttpService::build()
+            .keep_alive(KeepAlive::Timeout(limits.keep_alive))
+            .client_request_timeout(limits.head)
+            .tcp_nodelay(true)
+            // A client that closes its connection while it waits has gone away.
+            .h1_allow_half_closed(false)
+            .on_connect_ext(move |_: &tokio::net::TcpStream, extensions| {
+                if let Some(connection) = opener.opening.borrow_mut().take() {
+                    extensions.insert(connection);
+                }
+            })
+            .h1(fn_service(move |request| front.clone().answer(request)))
+            .new_service(())
+            .await;
+        let Ok(service) = service else { return };
+        loop {
+            // At the limit the rest waits in the listener's queue; see `answered` for how room is made.
+            while self.connections.borrow().len() >= limits.clients {
+                self.closed.notified().await;
+            }
+            let (stream, peer) = match listener.accept().await {
+                Ok(accepted) => accepted,
+                Err(e) => {
+                    log::warn!("accept: {e}");
+                    tokio::time::sleep(limits.accept_pause).await;
+                    continue;
+                }
+            };
+            let connection = Rc::new(Connection { busy: Cell::new(0) });
+            *self.opening.borrow_mut() = Some(connection.clone());
+            let handling = service.call((stream, Some(peer)));
+            let number = self.next.get();
+            self.next.set(number + 1);
+            let front = self.clone();
+            let task = actix_rt::spawn(async move {
+                let ended = Ended { front, number };
+                if let Err(e) = handling.await {
+                    log::debug!("connection from {peer}: {e}");
+                }
+                drop(ended);
+            });
+            self.connections.borrow_mut().insert(number, (connection, task.abort_handle()));
+        }
+    }
+
+    /// Closes the connections on which no request is under way.
+    pub fn close_idle(&self) {
+        for (connection, task) in self.connections.borrow().values() {
+            if connection.busy.get() == 0 {
+                task.abort();
+            }
+        }
+    }
+
+    /// Waits until every connection is closed, `most` at the longest.
+    pub async fn drained(&self, most: Duration) {
+        let end = tokio::time::Instant::now() + most;
+        while !self.connections.borrow().is_empty() {
+            if tokio::time::timeout_at(end, self.closed.notified()).await.is_err() {
+                break;
+            }
+        }
+    }
+
+    async fn answer(self: Rc<Self>, mut request: Request) -> Result<Response<Bytes>, Infallible> {
+        let arrived = self.runtime.clock.now();
+        let connection = request.conn_data::<Rc<Connection>>().cloned();
+        if let Some(connection) = &connection {
+            connection.busy.set(connection.busy.get() + 1);
+        }
+        let reply = match (request.path(), request.method()) {
+            ("/api", &Method::POST) => self.job(arrived, &mut request).await,
+            ("/v1/job-events", &Method::POST) => self.call_back(&mut request).await,
+            ("/up", &Method::GET) => Reply::new(StatusCode::OK, ""),
+            ("/api" | "/v1/job-events", _) => Reply::not_allowed("POST"),
+            ("/up", _) => Reply::not_allowed("GET"),
+            _ => Reply::new(StatusCode::NOT_FOUND, "no such path"),
+        };
+        if let Some(connection) = &connection {
+            connection.busy.set(connection.busy.get() - 1);
+        }
+        let mut response = Response::build(reply.status);
+        if let Some((name, value)) = reply.header {
+            response.insert_header((name, value));
+        }
+        // Near the limit connections are not kept, so that those who wait for one get their turn.
+        let crowded = self.connections.borrow().len() * 10 >= self.runtime.limits.clients * 9;
+        if reply.close || crowded || self.runtime.stopping() {
+            response.force_close();
+        }
+        Ok(response.message_body(reply.body).unwrap_or_else(|_| {
+            let plain = Response::with_body(StatusCode::INTERNAL_SERVER_ERROR, Bytes::new());
+            log::error!("an answer could not be worded");
+            plain
+        }))
+    }
+
+    /// A client's request, from its head to its final answer.
+    async fn job(&self, arrived: sr::Time, request: &mut Request) -> Reply {
+        let head = match self.read_head(request) {
+            Ok(head) => head,
+            Err(what) => return Reply::bad(what),
+        };
+        let body = match self.read_body(request).await {
+            Ok(body) => body,
+            Err(reply) => return reply,
+        };
+        let content_type = text(request.headers(), &header::CONTENT_TYPE).ok().flatten().map(str::to_owned);
+        let target = request.uri().path_and_query().map_or("/api", |target| target.as_str());
+        let job = Job {
+            target: target.to_owned(),
+            body,
+            key: head.key,
+            content_type,
+            class: head.class_name,
+            tenant: head.tenant_name,
+        };
+        let (ticket, answer) = self.runtime.ticket();
+        // Dropped with this future when the connection closes before the answer.
+        let _here = Here { runtime: &self.runtime, ticket };
+        self.runtime.feed(Input::Arrived(Arrival {
+            ticket,
+            id: head.id.into(),
+            class: head.class,
+            tenant: head.tenant,
+            deadline: arrived + head.patience,
+            slots: head.slots,
+            memory: head.memory,
+            estimate: head.estimate,
+            retry: head.retry,
+            job: Rc::new(job),
+        }));
+        match answer.await {
+            Ok(Answer::Served(result)) => Reply { body: result, ..Reply::new(StatusCode::OK, "") },
+            Ok(Answer::Refused(hold_off)) => {
+                let mut reply = Reply::new(StatusCode::SERVICE_UNAVAILABLE, "refused: no runner has room");
+                if hold_off.0 > 0 {
+                    reply.header = Some((header::RETRY_AFTER, format!("{:.3}", hold_off.secs())));
+                }
+                reply
+            }
+            Ok(Answer::Failed(why)) => Reply::new(StatusCode::BAD_GATEWAY, why),
+            Err(_) => Reply::new(StatusCode::INTERNAL_SERVER_ERROR, "no answer was made"),
+        }
+    }
+
+    fn read_head(&self, request: &Request) -> Result<Head, String> {
+        let headers = request.headers();
+        let optional = |name: &'static str| text(headers, &HeaderName::from_static(name));
+        let needed = |name: &'static str| optional(name)?.ok_or_else(|| format!("{name} is missing"));
+        let id = needed("x-request-id")?;
+        // It becomes part of a path when an attempt is given up.
+        let plain = |b: u8| b.is_ascii_alphanumeric() || b"-._~".contains(&b);
+        if id.is_empty() || id.len() > 128 || !id.bytes().all(plain) {
+            return Err("x-request-id is malformed".to_owned());
+        }
+        let class_name = needed("x-priority-class")?;
+        let class = self.runtime.with_tables(|tables| tables.classes.get(class_name));
+        let class = class.ok_or("x-priority-class names no known class")?;
+        let tenant_name = optional("x-tenant-id")?;
+        let tenant = tenant_name.and_then(|name| self.runtime.with_tables(|tables| tables.tenants.get(name)));
+        if self.with_tenants && tenant.is_none() {
+            return Err("x-tenant-id is missing or names no known tenant".to_owned());
+        }
+        let key = optional("idempotency-key")?;
+        if self.keyed[class as usize] && key.is_none_or(str::is_empty) {
+            return Err("idempotency-key is missing".to_owned());
+        }
+        let patience = timeout(needed("x-timeout")?).ok_or("x-timeout is malformed")?;
+        let cost = optional("x-cost")?.map(|text| number(text).ok_or("x-cost is malformed")).transpose()?;
+        let (mut slots, mut memory) = (1.0, 0.0);
+        for part in optional("x-attrs")?.unwrap_or("").split(',').filter(|part| !part.trim().is_empty()) {
+            let (name, value) = part.split_once('=').ok_or("x-attrs is malformed")?;
+            match name.trim() {
+                "slots" | "needs" => slots = number(value).ok_or("x-attrs: slots is malformed")?,
+                "memory" => memory = number(value).ok_or("x-attrs: memory is malformed")?,
+                _ => {}
+            }
+        }
+        Ok(Head {
+            id: id.to_owned(),
+            class,
+            class_name: class_name.to_owned(),
+            tenant,
+            tenant_name: tenant_name.map(str::to_owned),
+            key: key.map(str::to_owned),
+            patience,
+            slots,
+            memory,
+            estimate: sr::Span::from_secs(cost.unwrap_or(0.0) / 1e6),
+            retry: optional("x-retried")? == Some("1"),
+        })
+    }
+
+    async fn read_body(&self, request: &mut Request) -> Result<Bytes, Reply> {
+        let limits = &self.runtime.limits;
+        let told = text(request.headers(), &header::CONTENT_LENGTH).ok().flatten();
+        if told.and_then(|length| length.parse::<usize>().ok()).is_some_and(|length| length > limits.body) {
+            return Err(Reply::too_large());
+        }
+        let mut payload = request.take_payload();
+        let reading = async {
+            let mut body = BytesMut::new();
+            while let Some(chunk) = payload.next().await {
+                let chunk = chunk.map_err(|e| Reply::bad(format!("body: {e}")))?;
+                if body.len() + chunk.len() > limits.body {
+                    return Err(Reply::too_large());
+                }
+                body.extend_from_slice(&chunk);
+            }
+            Ok(body.freeze())
+        };
+        let late = Reply { close: true, ..Reply::new(StatusCode::REQUEST_TIMEOUT, "body: too slow") };
+        tokio::time::timeout(limits.body_wait, reading).await.unwrap_or(Err(late))
+    }
+
+    /// A runner tells what became of a job. Whatever it is about, it hears at once that it arrived.
+    async fn call_back(&self, request: &mut Request) -> Reply {
+        let body = match self.read_body(request).await {
+            Ok(body) => body,
+            Err(reply) => return reply,
+        };
+        let told: CallBack = match serde_json::from_slice(&body) {
+            Ok(told) => told,
+            Err(e) => {
+                log::warn!("call-back that can't be read: {e}");
+                return Reply::bad(format!("body: {e}"));
+            }
+        };
+        log::trace!("call-back {}", String::from_utf8_lossy(&body));
+        let CallBack { id, from, state, .. } = told;
+        let outcome = match state.as_str() {
+            "started" => {
+                self.runtime.feed(Input::Started { id, from });
+                return Reply::new(StatusCode::OK, "");
+            }
+            "running" => {
+                self.runtime.feed(Input::Progress { id, from, share: told.share.unwrap_or(0.0) });
+                return Reply::new(StatusCode::OK, "");
+            }
+            "done" => sr::Outcome::Ok,
+            "failed" => sr::Outcome::Error,
+            "returned" => sr::Outcome::Full,
+            "lost" => sr::Outcome::Reset,
+            other => {
+                log::warn!("call-back with state {other:?} from {from}: passed over");
+                return Reply::new(StatusCode::OK, "");
+            }
+        };
+        let report = told.load.and_then(|load| self.runtime.with_tables(|tables| load_object(tables, &load)));
+        let ending = Ending { outcome, result: result_bytes(told.result), report };
+        self.runtime.feed(Input::Told { id, from, ending });
+        Reply::new(StatusCode::OK, "")
+    }
+}
+
+/// Takes a connection off the table when its task ends, however it ends.
+struct Ended {
+    front: Rc<Front>,
+    number: u64,
+}
+
+impl Drop for Ended {
+    fn drop(&mut self) {
+        self.front.connections.borrow_mut().remove(&self.number);
+        self.front.closed.notify_one();
+    }
+}
+
+/// A client that waits; once dropped without its answer, it has gone away.
+struct Here<'a> {
+    runtime: &'a Runtime,
+    ticket: Ticket,
+}
+
+impl Drop for Here<'_> {
+    fn drop(&mut self) {
+        self.runtime.client_gone(self.ticket);
+    }
+}
+
+/// What a request's head says.
+struct Head {
+    id: String,
+    class: u32,
+    class_name: String,
+    tenant: Option<u32>,
+    tenant_name: Option<String>,
+    key: Option<String>,
+    patience: sr::Span,
+    slots: f64,
+    memory: f64,
+    estimate: sr::Span,
+    retry: bool,
+}
+
+/// A call-back's body.
+#[derive(serde::Deserialize)]
+struct CallBack {
+    id: String,
+    from: String,
+    state: String,
+    #[serde(default)]
+    share: Option<f64>,
+    #[serde(default)]
+    result: serde_json::Value,
+    #[serde(default)]
+    load: Option<serde_json::Value>,
+}
+
+/// An answer before it is written.
+struct Reply {
+    status: StatusCode,
+    header: Option<(HeaderName, String)>,
+    body: Bytes,
+    close: bool,
+}
+
+impl Reply {
+    fn new(status: StatusCode, body: &'static str) -> Reply {
+        Reply { status, header: None, body: Bytes::from_static(body.as_bytes()), close: false }
+    }
+
+    fn bad(what: String) -> Reply {
+        Reply { body: what.into(), ..Reply::new(StatusCode::BAD_REQUEST, "") }
+    }
+
+    fn too_large() -> Reply {
+        // The rest of the body is not read, so the connection can't be kept.
+        Reply { close: true, ..Reply::new(StatusCode::PAYLOAD_TOO_LARGE, "body: too large") }
+    }
+
+    fn not_allowed(allowed: &str) -> Reply {
+        let header = Some((header::ALLOW, allowed.to_owned()));
+        Reply { header, ..Reply::new(StatusCode::METHOD_NOT_ALLOWED, "") }
+    }
+}
+
+fn text<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Result<Option<&'a str>, String> {
+    let Some(value) = headers.get(name) else { return Ok(None) };
+    value.to_str().map(|text| Some(text.trim())).map_err(|_| format!("{name} is malformed"))
+}
+
+/// A figure that is neither negative nor senseless.
+fn number(text: &str) -> Option<f64> {
+    text.trim().parse::<f64>().ok().filter(|x| x.is_finite() && *x >= 0.0)
+}
+
+/// A time with its unit: `m` for milliseconds or `u` for microseconds.
+fn timeout(text: &str) -> Option<sr::Span> {
+    let unit = match text.as_bytes().last()? {
+        b'm' => 1e-3,
+        b'u' => 1e-6,
+        _ => return None,
+    };
+    // No client waits for more than a day.
+    Some(sr::Span::from_secs(number(&text[..text.len() - 1])?.min(86_400.0 / unit) * unit))
+}
--- /dev/null
+++ b/node/src/runtime.rs
@@ -0,0 +1,257 @@
+//! Runs the core: hands it inputs one at a time, carries out the effects it asks for, wakes it when a
+//! timer is due and leads the program from its start to its end. It owns the clock and the table of
+//! who waits for which answer. It must never change the dispatcher's state except through
+//! [`Core::step`], nor speak a wire: that is for what stands in `net`.
+
+use crate::core::{Answer, AttemptId, Core, Effect, Input, Ticket};
+use crate::limits::Limits;
+use bytes::Bytes;
+use sablerun as sr;
+use std::cell::{Cell, RefCell};
+use std::collections::{HashMap, VecDeque};
+use std::rc::Rc;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use tokio::sync::{Notify, oneshot};
+
+/// What is passed on of a request, the same for every wire.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Job {
+    /// Path and query, unchanged.
+    pub target: String,
+    pub body: Bytes,
+    /// The key under which runners drop repeats.
+    pub key: Option<String>,
+    pub content_type: Option<String>,
+    pub class: String,
+    pub tenant: Option<String>,
+}
+
+/// The program's clock: monotonic, and at its start the system's, so that other machines' times can
+/// be read on it.
+pub struct Clock {
+    started: Instant,
+    unix: u64,
+}
+
+impl Clock {
+    pub fn new() -> Clock {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Clock { started: Instant::now(), unix: unix.as_nanos() as u64 }
+    }
+
+    pub fn now(&self) -> sr::Time {
+        sr::Time(self.unix + self.started.elapsed().as_nanos() as u64)
+    }
+
+    /// A moment of the clock as the runtime's timers know it.
+    pub fn instant(&self, at: sr::Time) -> Instant {
+        self.started + Duration::from_nanos(at.0.saturating_sub(self.unix))
+    }
+
+    /// A time in Unix milliseconds; 0 means long ago.
+    pub fn unix_ms(&self, ms: u64) -> Option<sr::Time> {
+        (ms > 0).then(|| sr::Time(ms.saturating_mul(1_000_000)))
+    }
+}
+
+/// A way to runners: carries attempts to those that it knows.
+pub trait Link {
+    /// Whether this link leads to a runner.
+    fn leads_to(&self, runner: &str) -> bool;
+    /// Begins an attempt; tells the runtime how it ends.
+    fn start(&self, attempt: AttemptId, id: Rc<str>, runner: &str, job: Rc<Job>, deadline: sr::Time);
+    /// Stops waiting for an attempt and lets its runner know. Attempts that are not its own are ignored.
+    fn give_up(&self, attempt: AttemptId);
+    /// Lets go of an attempt that has ended.
+    fn over(&self, attempt: AttemptId);
+    /// Asks a runner for its load.
+    fn probe(&self, runner: &str);
+    /// Closes idle connections to a runner.
+    fn release(&self, runner: &str);
+}
+
+/// The way to discovery.
+pub trait Roster {
+    /// Asks for changes from now on.
+    fn subscribe(&self);
+    /// Asks for the whole list once.
+    fn fetch(&self);
+}
+
+/// The core and what surrounds it.
+pub struct Runtime {
+    pub limits: Limits,
+    pub clock: Clock,
+    core: RefCell<Core<Rc<Job>>>,
+    inputs: RefCell<VecDeque<Input<Rc<Job>>>>,
+    stepping: Cell<bool>,
+    links: RefCell<Vec<Rc<dyn Link>>>,
+    roster: RefCell<Option<Rc<dyn Roster>>>,
+    waiting: RefCell<HashMap<Ticket, oneshot::Sender<Answer>>>,
+    tickets: Cell<u64>,
+    retimed: Notify,
+    stopping: Cell<bool>,
+}
+
+impl Runtime {
+    pub fn new(core: Core<Rc<Job>>, clock: Clock, limits: Limits) -> Rc<Runtime> {
+        Rc::new(Runtime {
+            limits,
+            clock,
+            core: RefCell::new(core),
+            inputs: RefCell::default(),
+            stepping: Cell::new(false),
+            links: RefCell::default(),
+            roster: RefCell::default(),
+            waiting: RefCell::default(),
+            tickets: Cell::new(0),
+            retimed: Notify::new(),
+            stopping: Cell::new(false),
+        })
+    }
+
+    /// Adds a way to runners; earlier ones are asked first.
+    pub fn add_link(&self, link: Rc<dyn Link>) {
+        self.links.borrow_mut().push(link);
+    }
+
+    pub fn set_roster(&self, roster: Rc<dyn Roster>) {
+        *self.roster.borrow_mut() = Some(roster);
+    }
+
+    /// Reads from the core's name tables.
+    pub fn with_tables<T>(&self, read: impl FnOnce(&sablerun_settings::Tables) -> T) -> T {
+        read(self.core.borrow().tables())
+    }
+
+    /// A ticket for a new request, and where its answer will arrive.
+    pub fn ticket(&self) -> (Ticket, oneshot::Receiver<Answer>) {
+        self.tickets.set(self.tickets.get() + 1);
+        let ticket = Ticket(self.tickets.get());
+        let (send, receive) = oneshot::channel();
+        self.waiting.borrow_mut().insert(ticket, send);
+        (ticket, receive)
+    }
+
+    /// The client of a ticket has left; nothing happens if it was answered.
+    pub fn client_gone(&self, ticket: Ticket) {
+        if self.waiting.borrow_mut().remove(&ticket).is_some() {
+            self.feed(Input::ClientGone(ticket));
+        }
+    }
+
+    /// Hands the core an input. What happens while its effects are carried out waits its turn.
+    pub fn feed(&self, input: Input<Rc<Job>>) {
+        self.inputs.borrow_mut().push_back(input);
+        if self.stepping.replace(true) {
+            return;
+        }
+        let before = self.core.borrow().due();
+        loop {
+            let next = self.inputs.borrow_mut().pop_front();
+            let Some(input) = next else { break };
+            let effects = self.core.borrow_mut().step(self.clock.now(), input);
+            for effect in effects {
+                self.carry_out(effect);
+            }
+        }
+        self.stepping.set(false);
+        if self.core.borrow().due() != before {
+            self.retimed.notify_one();
+        }
+    }
+
+    fn carry_out(&self, effect: Effect<Rc<Job>>) {
+        match effect {
+            Effect::Answer(ticket, answer) => {
+                let waiting = self.waiting.borrow_mut().remove(&ticket);
+                if let Some(waiting) = waiting {
+                    // Fails only if the client has just left: nobody is owed anything then.
+                    let _ = waiting.send(answer);
+                }
+            }
+            Effect::Start { attempt, id, runner, job, deadline } => match self.link_to(&runner) {
+                Some(link) => link.start(attempt, id, &runner, job, deadline),
+                None => {
+                    log::warn!("no way to runner {runner}: attempt not made");
+                    let ending = crate::core::Ending::bare(sr::Outcome::ConnectFailed);
+                    self.feed(Input::Ended(attempt, ending));
+                }
+            },
+            Effect::GiveUp(attempt) => self.links.borrow().iter().for_each(|link| link.give_up(attempt)),
+            Effect::Over(attempt) => self.links.borrow().iter().for_each(|link| link.over(attempt)),
+            Effect::Subscribe | Effect::Fetch => {
+                let roster = self.roster.borrow().clone();
+                match (roster, effect) {
+                    (Some(roster), Effect::Subscribe) => roster.subscribe(),
+                    (Some(roster), _) => roster.fetch(),
+                    (None, _) => {}
+                }
+            }
+            Effect::Probe(runner) => match self.link_to(&runner) {
+                Some(link) => link.probe(&runner),
+                None => self.feed(Input::Probed { runner, ok: false, report: None }),
+            },
+            Effect::Release(runner) => {
+                if let Some(link) = self.link_to(&runner) {
+                    link.release(&runner);
+                }
+            }
+        }
+    }
+
+    fn link_to(&self, runner: &str) -> Option<Rc<dyn Link>> {
+        self.links.borrow().iter().find(|link| link.leads_to(runner)).cloned()
+    }
+
+    /// Wakes the core whenever a timer is due; never ends.
+    pub async fn keep_time(&self) {
+        loop {
+            let due = self.core.borrow().due();
+            match due {
+                None => self.retimed.notified().await,
+                Some(at) => {
+                    let sleep = tokio::time::sleep_until(self.clock.instant(at).into());
+                    tokio::select! {
+                        () = sleep => self.feed(Input::Due),
+                        () = self.retimed.notified() => {}
+                    }
+                }
+            }
+        }
+    }
+
+    /// Whether the program has been told to end: connections are not kept any more.
+    pub fn stopping(&self) -> bool {
+        self.stopping.get()
+    }
+
+    /// Begins the end: connections close after their answers.
+    pub fn stop(&self) {
+        self.stopping.set(true);
+    }
+
+    /// Waits until nothing taken is unanswered, `most` at the longest.
+    pub async fn answered(&self, most: Duration) {
+        let end = Instant::now() + most;
+        while Instant::now() < end && self.core.borrow().open() > 0 {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    }
+
+    /// A line for the log on what has been done so far.
+    pub fn summary(&self) -> String {
+        let core = self.core.borrow();
+        let t = core.tally();
+        format!(
+            "taken {} served {} refused {} failed {} left {} attempts {} open {}",
+            t.taken,
+            t.served,
+            t.refused,
+            t.failed,
+            t.left,
+            t.attempts,
+            core.open()
+        )
+    }
+}
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -540,7 +540,7 @@
 #[test]
 fn bad_requests_are_not_held_against_workers_and_a_bad_worker_is_still_found() {
     let mut world = two_workers(25);
-    let third = |n: u32| n % 3 == 0;
+    let third = |n: u32| n.is_multiple_of(3);
     serve_bad(&mut world, 0..60, third, false);
     let (tries, share) = serve_bad(&mut world, 60..360, third, false);
     assert!(tries < 1.7, "{tries} attempts for a request that fails anywhere");
@@ -577,7 +577,7 @@
         let before = world.sends().len();
         for n in ids {
             world.arrive(n, 1);
-            let home = world.requests[&RequestId(n)].attempts[0].0.0 % 2 == 0;
+            let home = world.requests[&RequestId(n)].attempts[0].0.0.is_multiple_of(2);
             world.pass(ms(if late && home { 400 } else { 1 }));
             serve(world, ms(50));
         }
