Add the Faktory front with SPIFFE identities, and one suite run through both fronts

Seen: the loopback suite (serve, error, reset, hang over four classes of outcome) gets the same counts through HTTP and Faktory clients, over the platform's runners and over Faktory workers: 6 served, 4 refused, 2 failed, and 1 refused and 1 failed where connections break. The platform's path is unchanged.

--- a/node/src/core.rs
+++ b/node/src/core.rs
@@ -46,7 +46,6 @@
 pub enum Source {
     Discovery,
     /// Runners that connected to a front by themselves.
-    #[allow(dead_code, reason = "the second front is on its way")]
     Callers,
 }
 
--- a/node/src/limits.rs
+++ b/node/src/limits.rs
@@ -12,8 +12,12 @@
     pub body: usize,
     /// Most requests held at once.
     pub open: usize,
-    /// Most connections from clients and runners.
+    /// Most connections from the platform's clients and runners.
     pub clients: usize,
+    /// Most connections of Faktory clients and workers.
+    pub callers: usize,
+    /// Longest Faktory frame, in bytes.
+    pub frame: usize,
     /// Most connections to runners.
     pub runners: usize,
     /// Wait before a listener that ran out of descriptors tries again.
@@ -45,13 +49,14 @@
 }
 
 impl Limits {
-    /// Limits for a machine with so many descriptors and so much memory.
-    pub fn new(sockets: usize, memory_mb: usize, env: &Env) -> Limits {
+    /// Limits for a machine with so many descriptors and so much memory, with the second front or without it.
+    pub fn new(sockets: usize, memory_mb: usize, env: &Env, two_fronts: bool) -> Limits {
         // Standard streams, the runtime's own, the listeners, the watch and a call to discovery.
         let free = sockets.saturating_sub(40).max(16);
         let idle = Duration::from_nanos(env.limits.conn_idle.unwrap_or(10_000_000_000));
         let body = 64 * 1024;
-        let clients = free * 3 / 5;
+        let accepted = free * 3 / 5;
+        let callers = if two_fronts { accepted / 2 } else { 0 };
         // A quarter of the memory may be bodies.
         let fits = memory_mb.max(16) * 1024 * 1024 / 4 / body;
         let told = env.limits.max_open.map_or(usize::MAX, |most| usize::try_from(most).unwrap_or(usize::MAX));
@@ -59,8 +64,11 @@
         Limits {
             body,
             open: fits.min(told).max(1),
-            clients,
-            runners: free - clients,
+            clients: accepted - callers,
+            callers,
+            // A job's arguments, and as much again for what stands round them.
+            frame: body * 2,
+            runners: free - accepted,
             accept_pause: Duration::from_millis(20),
             head: Duration::from_secs(10),
             body_wait: Duration::from_secs(10),
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -8,13 +8,14 @@
 
 use crate::core::{Core, Input};
 use crate::limits::Limits;
+use crate::net::faktory::{Faktory, Gateway};
 use crate::net::{discovery, platform, runners};
 use crate::runtime::{Clock, Runtime};
 use sablerun as sr;
 use sablerun_settings::Env;
 use std::net::SocketAddr;
+use std::path::Path;
 use std::process::ExitCode;
-use std::rc::Rc;
 use std::time::Duration;
 use tokio::signal::unix::{SignalKind, signal};
 
@@ -41,7 +42,8 @@
 fn main() -> ExitCode {
     let env = env_logger::Env::default().default_filter_or("info");
     env_logger::Builder::from_env(env).format_timestamp_millis().init();
-    match read_config().and_then(|config| actix_rt::System::new().block_on(run(config))) {
+    let told = read_gateway().and_then(|gateway| Ok((read_config()?, gateway)));
+    match told.and_then(|(config, gateway)| actix_rt::System::new().block_on(run(config, gateway))) {
         Ok(()) => ExitCode::SUCCESS,
         Err(message) => {
             log::error!("{message}");
@@ -50,6 +52,16 @@
     }
 }
 
+/// The operator's file, if one is named: it sets the second front up.
+fn read_gateway() -> Result<Option<Gateway>, String> {
+    let arguments: Vec<_> = std::env::args_os().skip(1).collect();
+    match arguments.as_slice() {
+        [] => Ok(None),
+        [flag, file] if flag == "--gateway" => Gateway::read(Path::new(file)).map(Some),
+        _ => Err("usage: sablerun [--gateway FILE]".to_owned()),
+    }
+}
+
 fn read_config() -> Result<Config, String> {
     let path = std::env::var("NODE_CONFIG").map_err(|_| "NODE_CONFIG is not set".to_owned())?;
     let text = std::fs::read_to_string(&path).map_err(|e| format!("NODE_CONFIG: {path}: {e}"))?;
@@ -58,10 +70,15 @@
         .map_err(|e| format!("NODE_CONFIG: {}: {}", e.path(), e.inner()))
 }
 
-async fn run(config: Config) -> Result<(), String> {
+async fn run(config: Config, gateway: Option<Gateway>) -> Result<(), String> {
     let (settings, tables) = config.settings.settle().map_err(|e| format!("NODE_CONFIG: settings: {e}"))?;
     let seed = u64::from_str_radix(&config.seed, 16).map_err(|e| format!("NODE_CONFIG: seed: {e}"))?;
-    let limits = Limits::new(config.limits.sockets, config.limits.memory_mb, &config.settings);
+    let machine = &config.limits;
+    let limits = Limits::new(machine.sockets, machine.memory_mb, &config.settings, gateway.is_some());
+    if let Some(gateway) = &gateway {
+        gateway.check(&tables).map_err(|e| format!("--gateway: {e}"))?;
+    }
+    let deadlines = settings.classes.iter().map(|class| class.deadline).collect();
     let keyed = settings.classes.iter().map(|c| c.effect != sr::Effect::Safe).collect();
     let with_tenants = !settings.tenants.is_empty();
     let clock = Clock::new();
@@ -73,6 +90,12 @@
     runtime.add_link(runners.clone());
     let roster = discovery::Discovery::new(&runtime, &runners, config.discovery);
     runtime.set_roster(roster.clone());
+    let second = gateway.map(|gateway| {
+        let at = gateway.listen;
+        let front = Faktory::new(&runtime, gateway, deadlines, with_tenants)?;
+        Ok((front, platform::listen(at).map_err(|e| format!("listen: {at}: {e}"))?))
+    });
+    let second = second.transpose().map_err(|e: String| format!("--gateway: {e}"))?;
     let mut terminate = signal(SignalKind::terminate()).map_err(|e| format!("SIGTERM: {e}"))?;
     let mut interrupt = signal(SignalKind::interrupt()).map_err(|e| format!("SIGINT: {e}"))?;
     let listener = platform::listen(config.listen).map_err(|e| format!("listen: {}: {e}", config.listen))?;
@@ -84,15 +107,32 @@
     }
     let timer = runtime.clone();
     actix_rt::spawn(async move { timer.keep_time().await });
+    let bound = listener.local_addr().ok();
     let front = platform::Front::new(&runtime, keyed, with_tenants);
     let accepting = actix_rt::spawn(front.clone().serve(listener));
-    log::info!("{} ready on {}, discovery at {}", config.name, config.listen, config.discovery);
+    let listen = bound.unwrap_or(config.listen);
+    log::info!("{} ready on {listen}, discovery at {}", config.name, config.discovery);
 
+    let second = second.map(|(front, listener)| {
+        log::info!(
+            "faktory on {}",
+            listener.local_addr().map_or_else(|e| e.to_string(), |at| at.to_string())
+        );
+        runtime.add_link(front.clone());
+        actix_rt::spawn(front.clone().look_after());
+        (actix_rt::spawn(front.clone().serve(listener)), front)
+    });
+    let mut hang_up = signal(SignalKind::hangup()).map_err(|e| format!("SIGHUP: {e}"))?;
     let mut minute = tokio::time::interval(Duration::from_secs(10));
     loop {
         tokio::select! {
             _ = terminate.recv() => break,
             _ = interrupt.recv() => break,
+            _ = hang_up.recv() => {
+                if let Some((_, front)) = &second {
+                    front.reload();
+                }
+            }
             _ = minute.tick() => log::info!("{}", runtime.summary()),
         }
     }
@@ -100,11 +140,13 @@
     runtime.stop();
     tokio::time::sleep(runtime.limits.spell).await;
     accepting.abort();
+    if let Some((accepting, _)) = &second {
+        accepting.abort();
+    }
     front.close_idle();
     runtime.answered(runtime.limits.stop - runtime.limits.spell).await;
     // Whatever was answered last is still on its way out.
     front.drained(Duration::from_millis(100)).await;
     log::info!("ends: {}", runtime.summary());
-    drop(Rc::clone(&runtime));
     Ok(())
 }
--- a/node/src/net/mod.rs
+++ b/node/src/net/mod.rs
@@ -2,5 +2,7 @@
 //! core's effects into messages. None of them may decide anything.
 
 pub mod discovery;
+pub mod faktory;
 pub mod platform;
 pub mod runners;
+pub mod spiffe;
--- a/node/src/net/platform.rs
+++ b/node/src/net/platform.rs
@@ -3,9 +3,9 @@
 //! checks what clients write and words the answers. It must never give an answer of its own to a
 //! request it has handed to the core, nor keep one back.
 
-use crate::core::{Answer, Arrival, Ending, Input, Ticket};
+use crate::core::{Answer, Arrival, Ending, Input};
 use crate::net::runners::{load_object, result_bytes};
-use crate::runtime::{Job, Runtime};
+use crate::runtime::{Here, Job, Runtime};
 use actix_http::header::{self, HeaderMap, HeaderName};
 use actix_http::{HttpMessage, HttpService, KeepAlive, Method, Request, Response, StatusCode};
 use actix_service::{Service, ServiceFactory, fn_service};
@@ -183,10 +183,12 @@
             content_type,
             class: head.class_name,
             tenant: head.tenant_name,
+            queue: None,
+            original: None,
         };
         let (ticket, answer) = self.runtime.ticket();
         // Dropped with this future when the connection closes before the answer.
-        let _here = Here { runtime: &self.runtime, ticket };
+        let _here = Here::new(&self.runtime, ticket);
         self.runtime.feed(Input::Arrived(Arrival {
             ticket,
             id: head.id.into(),
@@ -336,18 +338,6 @@
     }
 }
 
-/// A client that waits; once dropped without its answer, it has gone away.
-struct Here<'a> {
-    runtime: &'a Runtime,
-    ticket: Ticket,
-}
-
-impl Drop for Here<'_> {
-    fn drop(&mut self) {
-        self.runtime.client_gone(self.ticket);
-    }
-}
-
 /// What a request's head says.
 struct Head {
     id: String,
--- a/node/src/runtime.rs
+++ b/node/src/runtime.rs
@@ -3,7 +3,7 @@
 //! who waits for which answer. It must never change the dispatcher's state except through
 //! [`Core::step`], nor speak a wire: that is for what stands in `net`.
 
-use crate::core::{Answer, AttemptId, Core, Effect, Input, Ticket};
+use crate::core::{Answer, AttemptId, Core, Effect, Input, Tally, Ticket};
 use crate::limits::Limits;
 use bytes::Bytes;
 use sablerun as sr;
@@ -24,6 +24,27 @@
     pub content_type: Option<String>,
     pub class: String,
     pub tenant: Option<String>,
+    /// Where its client named them: the queue it stands in, and the job as the client wrote it.
+    pub queue: Option<String>,
+    pub original: Option<Bytes>,
+}
+
+/// A client that waits for its answer; once dropped without it, the client has gone away.
+pub struct Here {
+    runtime: Rc<Runtime>,
+    ticket: Ticket,
+}
+
+impl Here {
+    pub fn new(runtime: &Rc<Runtime>, ticket: Ticket) -> Here {
+        Here { runtime: runtime.clone(), ticket }
+    }
+}
+
+impl Drop for Here {
+    fn drop(&mut self) {
+        self.runtime.client_gone(self.ticket);
+    }
 }
 
 /// The program's clock: monotonic, and at its start the system's, so that other machines' times can
@@ -239,6 +260,11 @@
         }
     }
 
+    /// What has been counted so far.
+    pub fn tally(&self) -> Tally {
+        self.core.borrow().tally()
+    }
+
     /// A line for the log on what has been done so far.
     pub fn summary(&self) -> String {
         let core = self.core.borrow();
--- /dev/null
+++ b/node/tests/fronts.rs
@@ -0,0 +1,166 @@
+//! The same jobs through both fronts: every rule holds whichever wire a job came or went by.
+
+mod common;
+
+use common::*;
+use serde_json::{Value, json};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::thread;
+
+/// How a client of either front understands its answer.
+fn push(at: SocketAddr, queue: &str, jid: &str, word: &str, custom: Value) -> String {
+    Caller::connect(at, None).say(&format!("PUSH {}", job(queue, jid, word, custom)))
+}
+
+fn through_faktory(at: SocketAddr, queue: &str, word: &str, timeout_ms: u64) -> &'static str {
+    match push(at, queue, &new_id(), word, json!({"timeout_ms": timeout_ms})).as_str() {
+        "+OK" => "served",
+        reply if reply.starts_with("-ERR REFUSED retry_after=") => "refused",
+        reply if reply.starts_with("-ERR FAILED ") => "failed",
+        other => panic!("{other}"),
+    }
+}
+
+fn through_http(at: SocketAddr, class: &str, word: &str, timeout_ms: u64) -> &'static str {
+    let answer = call(at, &api(class, &new_id(), &format!("{timeout_ms}m"), ""), word);
+    match answer.status() {
+        200 => "served",
+        503 => {
+            let wait: f64 = answer.headers["retry-after"].parse().unwrap();
+            assert!(wait > 0.0);
+            "refused"
+        }
+        502 => "failed",
+        other => panic!("{other}"),
+    }
+}
+
+/// Classes by queue, jobs by what becomes of them, and what the client must hear.
+const SUITE: [(&str, &str, &str, &str); 12] = [
+    ("routes", "pick-route", "serve", "served"),
+    ("waves", "wave-release", "serve", "served"),
+    ("picks", "short-pick", "serve", "served"),
+    // Errors: what may be repeated is refused in the end, what may have run in one hall is not.
+    ("routes", "pick-route", "error", "refused"),
+    ("waves", "wave-release", "error", "failed"),
+    ("picks", "short-pick", "error", "refused"),
+    // Work that hangs: deadlines hold.
+    ("routes", "pick-route", "hang", "refused"),
+    ("waves", "wave-release", "hang", "failed"),
+    ("picks", "short-pick", "hang", "refused"),
+    // And after all that the runners still serve.
+    ("routes", "pick-route", "serve", "served"),
+    ("waves", "wave-release", "serve", "served"),
+    ("picks", "short-pick", "serve", "served"),
+];
+
+/// A connection that breaks leaves it open whether the job ran. Its worker is suspect for a while
+/// afterwards, so each of these has a program of its own.
+const BROKEN: [(&str, &str, &str, &str); 2] =
+    [("routes", "pick-route", "reset", "refused"), ("waves", "wave-release", "reset", "failed")];
+
+/// Runs a suite over a front and counts the answers.
+fn run(
+    suite: &[(&'static str, &'static str, &'static str, &'static str)],
+    send: impl Fn(&'static str, &'static str, &'static str) -> &'static str,
+) -> BTreeMap<&'static str, usize> {
+    let mut counts = BTreeMap::new();
+    for &(queue, class, word, expected) in suite {
+        let heard = send(queue, class, word);
+        assert_eq!(heard, expected, "{class} {word}");
+        *counts.entry(heard).or_insert(0) += 1;
+    }
+    counts
+}
+
+fn platform() -> (Discovery, Vec<Runner>, Program) {
+    let runners: Vec<Runner> = (0..3).map(|n| Runner::start(&format!("s-{n}"))).collect();
+    let hosts = runners.iter().enumerate().map(|(n, r)| host(&format!("s-{n}"), r.at, "hall-a", "active"));
+    let discovery = Discovery::start(hosts.collect());
+    let program = Program::start(&discovery, settings(), Some(GATEWAY));
+    runners.iter().for_each(|runner| runner.call_back_to(&program));
+    (discovery, runners, program)
+}
+
+fn gateway(workers: usize) -> (Discovery, Events, Program) {
+    let discovery = Discovery::start(Vec::new());
+    let program = Program::start(&discovery, settings(), Some(GATEWAY));
+    let seen = Events::default();
+    for n in 0..workers {
+        worker(program.faktory.unwrap(), &format!("w-{n}"), 5, &seen);
+        program.log.wait(&format!("worker w-{n} of"), 1);
+    }
+    (discovery, seen, program)
+}
+
+#[test]
+fn the_same_suite_gets_the_same_counts_through_both_fronts() {
+    // Clients of both fronts, over the platform's runners and over Faktory's workers.
+    let mut all = vec![Vec::new(); 4];
+    for suite in [&SUITE[..], &BROKEN[..1], &BROKEN[1..]] {
+        for (n, counts) in all.iter_mut().enumerate() {
+            let (over_workers, over_faktory) = (n / 2 == 1, n % 2 == 1);
+            let (_keep, program) = if over_workers {
+                let (discovery, _, program) = gateway(3);
+                ((discovery, Vec::new()), program)
+            } else {
+                let (discovery, runners, program) = platform();
+                ((discovery, runners), program)
+            };
+            counts.push(run(suite, |queue, class, word| {
+                // What hangs gets less time than what must be served.
+                let timeout = if word == "hang" { 400 } else { 5000 };
+                if over_faktory {
+                    through_faktory(program.faktory.unwrap(), queue, word, timeout)
+                } else {
+                    through_http(program.at, class, word, timeout)
+                }
+            }));
+        }
+    }
+    assert!(all.iter().all(|counts| *counts == all[0]), "{all:?}");
+    assert_eq!(all[0][0], BTreeMap::from([("failed", 2), ("refused", 4), ("served", 6)]));
+}
+
+#[test]
+fn an_answer_goes_back_through_the_front_that_its_job_came_by() {
+    let (_discovery, seen, program) = gateway(1);
+    let answer = call(program.at, &api("short-pick", &new_id(), "5000m", ""), "serve");
+    assert_eq!((answer.status(), answer.body.as_str()), (200, "by w-0"));
+    let got = seen.wait("w-0 got serve", 1);
+    assert!(got.contains("\"queue\":\"picks\"") && got.contains("\"key\":\"key-"), "{got}");
+    let (_discovery, runners, program) = platform();
+    let jid = new_id();
+    assert_eq!(push(program.faktory.unwrap(), "picks", &jid, "serve", json!({})), "+OK");
+    let posts: Vec<_> =
+        runners.iter().flat_map(|r| r.seen.all()).filter(|e| e.contains("POST /api")).collect();
+    assert_eq!(posts.len(), 1, "{posts:?}");
+    assert!(posts[0].contains(&jid) && posts[0].ends_with("[\"serve\"]"), "{posts:?}");
+}
+
+#[test]
+fn a_fail_after_the_job_was_served_changes_nothing() {
+    let (_discovery, _, program) = gateway(0);
+    let at = program.faktory.unwrap();
+    let mut worker = Caller::connect(at, Some("w-late"));
+    worker.send("FETCH picks");
+    let jid = new_id();
+    let client = {
+        let jid = jid.clone();
+        thread::spawn(move || push(at, "picks", &jid, "serve", json!({})))
+    };
+    let mut got = worker.fetched();
+    while got.is_none() {
+        got = worker.fetch("picks");
+    }
+    assert_eq!(got.unwrap()["jid"], json!(jid));
+    assert_eq!(worker.say(&format!("ACK {}", json!({"jid": jid}))), "+OK");
+    assert_eq!(client.join().unwrap(), "+OK");
+    // Late, repeated and unknown words are heard and passed over, and the worker goes on.
+    assert_eq!(worker.say(&format!("FAIL {}", json!({"jid": jid}))), "+OK");
+    assert_eq!(worker.say(&format!("ACK {}", json!({"jid": jid}))), "+OK");
+    assert_eq!(worker.say(&format!("FAIL {}", json!({"jid": "never-seen"}))), "+OK");
+    worker.send("INFO");
+    assert_eq!(worker.fetched().unwrap()["faktory"]["total_processed"], json!(1));
+}
