--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -218,11 +218,14 @@
     read_message(&mut BufReader::new(stream)).expect("an answer")
 }
 
+/// Version, hosts and open watches.
+type Told = (u64, Vec<Value>, Vec<TcpStream>);
+
 /// Discovery: tells the whole list first, then the changes that a test makes.
 pub struct Discovery {
     pub at: SocketAddr,
     pub calls: Events,
-    state: Arc<Mutex<(u64, Vec<Value>, Vec<TcpStream>)>>,
+    state: Arc<Mutex<Told>>,
 }
 
 pub fn host(name: &str, dial: SocketAddr, site: &str, health: &str) -> Value {
@@ -234,8 +237,8 @@
     pub fn start(hosts: Vec<Value>) -> Discovery {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let at = listener.local_addr().unwrap();
-        let state = Arc::new(Mutex::new((1u64, hosts, Vec::<TcpStream>::new())));
-        let (calls, shared, told) = (Events::default(), state.clone(), Events::default());
+        let state = Arc::new(Mutex::new((1, hosts, Vec::new())));
+        let (calls, shared) = (Events::default(), state.clone());
         let calls_of = calls.clone();
         thread::spawn(move || {
             for stream in listener.incoming().map_while(Result::ok) {
@@ -259,7 +262,6 @@
                 quiet.lock().unwrap().2.retain_mut(|stream| stream.write_all(b"1\r\n\n\r\n").is_ok());
             }
         });
-        drop(told);
         Discovery { at, calls, state }
     }
 
