--- a/node/src/net/faktory.rs
+++ b/node/src/net/faktory.rs
@@ -523,10 +523,10 @@
         });
         worker.connections += 1;
         worker.beat = Instant::now();
-        let first = worker.connections == 1;
+        let back = worker.connections == 1 && !worker.queues.is_empty();
         drop(workers);
-        if first {
-            log::info!("faktory: worker {wid} of {} is here", peer.name);
+        if back {
+            log::info!("faktory: worker {wid} of {} is back", peer.name);
             self.list(wid);
         }
         Ok(())
@@ -712,11 +712,7 @@
             queues.push("default".to_owned());
         }
         let (hand_over, mut handed) = oneshot::channel();
-        if let Some(worker) = self.workers.borrow_mut().get_mut(wid) {
-            worker.queues.extend(queues.iter().cloned());
-            worker.parked.push_back(Parked { connection, queues, hand_over });
-        }
-        self.serve_parked(wid);
+        self.park(wid, Parked { connection, queues, hand_over });
         let end = tokio::time::Instant::now() + Duration::from_millis(self.gateway.fetch_wait_ms);
         let job = loop {
             tokio::select! {
@@ -745,6 +741,25 @@
         Ok(())
     }
 
+    /// Notes a free slot, and gives it what waits for one.
+    fn park(&self, wid: &str, parked: Parked) {
+        let mut workers = self.workers.borrow_mut();
+        let Some(worker) = workers.get_mut(wid) else { return };
+        // Guards against jobs drawn for a worker that has not said yet which queues it takes: it comes
+        // to the list with its first FETCH.
+        let first = worker.queues.is_empty();
+        worker.queues.extend(parked.queues.iter().cloned());
+        worker.parked.push_back(parked);
+        if first {
+            log::info!("faktory: worker {wid} of {} is here", worker.peer);
+        }
+        drop(workers);
+        if first {
+            self.list(wid);
+        }
+        self.serve_parked(wid);
+    }
+
     /// Hands waiting jobs to parked FETCHes that take their queues, each FETCH's first queue first.
     fn serve_parked(&self, wid: &str) {
         let mut workers = self.workers.borrow_mut();
--- a/node/src/net/runners.rs
+++ b/node/src/net/runners.rs
@@ -187,7 +187,10 @@
             }
             let wait = Duration::from_nanos((deadline - runtime.clock.now()).0);
             match this.attempt(at, &key.0, &job, wait).await {
-                None => took.set(true),
+                None => {
+                    log::debug!("runner {} took {}", key.1, key.0);
+                    took.set(true);
+                }
                 Some(ending) => runtime.feed(Input::Ended(attempt, ending)),
             }
         });
--- a/node/src/runtime.rs
+++ b/node/src/runtime.rs
@@ -171,6 +171,9 @@
         loop {
             let next = self.inputs.borrow_mut().pop_front();
             let Some(input) = next else { break };
+            if let Input::Arrived(arrival) = &input {
+                log::debug!("request {} of class {}", arrival.id, arrival.job.class);
+            }
             let effects = self.core.borrow_mut().step(self.clock.now(), input);
             for effect in effects {
                 self.carry_out(effect);
--- /dev/null
+++ b/node/tests/platform.rs
@@ -0,0 +1,278 @@
+//! The program on the platform's sockets: each test settles one trap of the protocol.
+
+mod common;
+
+use common::*;
+use serde_json::{Value, json};
+use std::io::{BufReader, Write};
+use std::net::{Shutdown, TcpListener, TcpStream};
+use std::process::Stdio;
+use std::thread;
+
+fn one_runner() -> (Discovery, Runner, Program) {
+    let runner = Runner::start("s-0");
+    let discovery = Discovery::start(vec![host("s-0", runner.at, "hall-a", "active")]);
+    let program = Program::start(&discovery, settings(), None);
+    runner.call_back_to(&program);
+    (discovery, runner, program)
+}
+
+fn open(program: &Program, class: &str, id: &str, timeout: &str, body: &str) -> TcpStream {
+    let mut stream = TcpStream::connect(program.at).unwrap();
+    let head = api(class, id, timeout, "");
+    write!(stream, "{head}\r\nHost: t\r\nContent-Length: {}\r\n\r\n{body}", body.len()).unwrap();
+    stream
+}
+
+fn answer(stream: &TcpStream) -> Option<Message> {
+    read_message(&mut BufReader::new(stream.try_clone().unwrap()))
+}
+
+#[test]
+fn a_job_passes_unchanged_and_its_result_is_the_answer() {
+    let (_discovery, runner, program) = one_runner();
+    let id = new_id();
+    let answer = call(
+        program.at,
+        &api("short-pick", &id, "5000m", "\r\nX-Cost: 1500\r\nX-Attrs: slots=2"),
+        "the body",
+    );
+    assert_eq!((answer.status(), answer.body.as_str()), (200, "by s-0"));
+    let seen = runner.seen.wait("POST serve", 1);
+    assert_eq!(seen, format!("POST serve {id} POST /api?sid=7f3a HTTP/1.1 the body"));
+    // The second, repeated call-back is answered too, and changes nothing.
+    runner.seen.wait(&format!("done {id} -> 200"), 2);
+    assert_eq!(call(program.at, "GET /up HTTP/1.1", "").status(), 200);
+}
+
+#[test]
+fn a_call_back_before_the_202_counts() {
+    let (_discovery, _runner, program) = one_runner();
+    let answer = call(program.at, &api("wave-release", &new_id(), "5000m", ""), "early");
+    assert_eq!((answer.status(), answer.body.as_str()), (200, "by s-0"));
+}
+
+/// Id and name must both match an attempt that is out: anything else could serve a job with what no
+/// runner made for it.
+#[test]
+fn call_backs_that_match_no_live_attempt_change_nothing() {
+    let (_discovery, runner, program) = one_runner();
+    let id = new_id();
+    let stream = open(&program, "short-pick", &id, "5000m", "hang");
+    runner.seen.wait("POST hang", 1);
+    let back = |id: &str, from: &str, state: &str| {
+        let body = json!({"id": id, "from": from, "state": state, "result": from}).to_string();
+        call(program.at, "POST /v1/job-events HTTP/1.1", &body).status()
+    };
+    assert_eq!(back(&id, "s-9", "done"), 200);
+    assert_eq!(back("0000", "s-0", "done"), 200);
+    assert_eq!(back(&id, "s-0", "no such state"), 200);
+    assert_eq!(call(program.at, "POST /v1/job-events HTTP/1.1", "{").status(), 400);
+    assert_eq!(back(&id, "s-0", "done"), 200);
+    let answer = answer(&stream).unwrap();
+    assert_eq!((answer.status(), answer.body.as_str()), (200, "s-0"));
+}
+
+#[test]
+fn a_runner_that_hangs_or_says_nothing_does_not_keep_the_answer() {
+    for (word, class, status) in
+        [("hang", "wave-release", 502), ("mute", "wave-release", 502), ("hang", "pick-route", 503)]
+    {
+        let (_discovery, runner, program) = one_runner();
+        let id = new_id();
+        let answer = call(program.at, &api(class, &id, "300m", ""), word);
+        assert_eq!(answer.status(), status, "{word} {class}");
+        // And the attempt is given up: by a call after the 202, by the connection's end before it.
+        match word {
+            "hang" => runner.seen.wait(&format!("DELETE {id}"), 1),
+            _ => runner.seen.wait("closed", 1),
+        };
+    }
+}
+
+/// A client that closes its connection while it waits has gone away, also where it only shuts down
+/// its writing side's end: actix-http has to be told so.
+#[test]
+fn a_client_that_hangs_up_is_noticed_and_its_attempt_given_up() {
+    let (_discovery, runner, program) = one_runner();
+    for n in 0..2 {
+        let id = new_id();
+        let stream = open(&program, "short-pick", &id, "5000m", "hang");
+        program.log.wait(&format!("took {id}"), 1);
+        if n == 0 {
+            stream.shutdown(Shutdown::Both).unwrap()
+        } else {
+            drop(stream)
+        }
+        runner.seen.wait(&format!("DELETE {id}"), 1);
+    }
+}
+
+#[test]
+fn a_refusal_says_when_to_come_back_and_comes_before_the_deadline() {
+    let discovery = Discovery::start(Vec::new());
+    let program = Program::start(&discovery, settings(), None);
+    // Given up when its aim is past, while its deadline is hours away.
+    let answer = call(program.at, &api("pick-route", &new_id(), "7200000m", ""), "x");
+    assert_eq!(answer.status(), 503);
+    assert_eq!(answer.headers["retry-after"].parse::<f64>().unwrap(), 1.0);
+}
+
+#[test]
+fn bad_input_gets_its_status() {
+    let (_discovery, runner, program) = one_runner();
+    let status = |head: &str, body: &str| call(program.at, head, body).status();
+    let good = api("pick-route", "good", "100m", "");
+    let without = |name: &str| {
+        let lines = good.split("\r\n").filter(|line| !line.starts_with(name));
+        lines.collect::<Vec<_>>().join("\r\n")
+    };
+    for name in ["X-Request-ID", "X-Priority-Class", "X-Timeout", "X-Tenant-Id"] {
+        assert_eq!(status(&without(name), "x"), 400, "{name}");
+    }
+    assert_eq!(status(&without("Idempotency-Key").replace("pick-route", "short-pick"), "x"), 400);
+    for (from, to) in [
+        ("pick-route", "no-class"),
+        ("mehran-dist", "nobody"),
+        ("ID: good", "ID: a/b"),
+        ("100m", "100"),
+        ("100m", "-1m"),
+        ("100m", "NaNm"),
+        ("100m", "m"),
+        ("100m", "100m\r\nX-Cost: much"),
+        ("100m", "100m\r\nX-Attrs: slots"),
+        ("100m", "100m\r\nX-Attrs: slots=-2"),
+    ] {
+        assert_eq!(status(&good.replace(from, to), "x"), 400, "{to}");
+    }
+    assert_eq!(status(&good, &"x".repeat(64 * 1024 + 1)), 413);
+    assert_eq!(status("GET /api HTTP/1.1", ""), 405);
+    assert_eq!(status("POST /up HTTP/1.1", ""), 405);
+    assert_eq!(status("GET /v1/job-events HTTP/1.1", ""), 405);
+    assert_eq!(status("GET /elsewhere HTTP/1.1", ""), 404);
+    assert_eq!(runner.seen.count("POST"), 0);
+    // A body of just the size passes, and microseconds are a unit too.
+    let answer = call(program.at, &api("pick-route", &new_id(), "5000000u", ""), &"x".repeat(64 * 1024));
+    assert_eq!(answer.status(), 200);
+}
+
+#[test]
+fn work_turned_away_goes_elsewhere_and_one_runner_holds_a_job_once() {
+    let (_discovery, runner, program) = one_runner();
+    let id = new_id();
+    // Never run, so even a class that is keyed by hall may be refused.
+    let answer = call(program.at, &api("wave-release", &id, "400m", ""), "away");
+    assert_eq!(answer.status(), 503);
+    assert!(runner.seen.count(&format!("POST away {id}")) >= 1);
+    // Two requests under one id can't be told apart by a runner: the second is not sent.
+    let first = open(&program, "short-pick", &id, "5000m", "hang");
+    runner.seen.wait(&format!("POST hang {id}"), 1);
+    assert_eq!(call(program.at, &api("short-pick", &id, "5000m", ""), "hang").status(), 502);
+    assert_eq!(runner.seen.count(&format!("POST hang {id}")), 1);
+    drop(first);
+}
+
+#[test]
+fn a_connection_that_breaks_before_the_202_is_a_reset_and_one_refused_never_ran() {
+    let (_discovery, _runner, program) = one_runner();
+    // The request was written: it may have run, so a class keyed by hall can only fail.
+    assert_eq!(call(program.at, &api("wave-release", &new_id(), "400m", ""), "reset").status(), 502);
+    // Nobody listens there: nothing can have run, and the same class is refused.
+    let free = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let discovery = Discovery::start(vec![host("s-0", free, "hall-a", "active")]);
+    let program = Program::start(&discovery, settings(), None);
+    assert_eq!(call(program.at, &api("wave-release", &new_id(), "400m", ""), "x").status(), 503);
+}
+
+/// A drain told on the watch binds at once; a watch that breaks is begun anew and tells the rest.
+#[test]
+fn nothing_new_goes_to_a_runner_once_it_drains() {
+    let (leaving, staying) = (Runner::start("s-0"), Runner::start("s-1"));
+    let discovery = Discovery::start(vec![host("s-0", leaving.at, "hall-a", "active")]);
+    let program = Program::start(&discovery, settings(), None);
+    leaving.call_back_to(&program);
+    staying.call_back_to(&program);
+    assert_eq!(call(program.at, &api("pick-route", &new_id(), "5000m", ""), "x").body, "by s-0");
+    discovery
+        .tell(&[host("s-0", leaving.at, "hall-a", "leaving"), host("s-1", staying.at, "hall-a", "active")]);
+    program.log.wait("list Delta", 1);
+    let before = leaving.seen.count("POST");
+    for _ in 0..20 {
+        assert_eq!(call(program.at, &api("pick-route", &new_id(), "5000m", ""), "x").body, "by s-1");
+    }
+    assert_eq!(leaving.seen.count("POST"), before);
+    discovery.break_watches();
+    program.log.wait("list Full", 2);
+    assert!(discovery.calls.wait("stream=1", 2).contains("index=2"));
+}
+
+#[test]
+fn after_sigterm_it_serves_on_answers_what_it_took_and_ends() {
+    let (_discovery, runner, mut program) = one_runner();
+    let id = new_id();
+    let taken = open(&program, "short-pick", &id, "5000m", "hang");
+    runner.seen.wait("POST hang", 1);
+    program.signal("TERM");
+    program.log.wait("told to end", 1);
+    let late = call(program.at, &api("short-pick", &new_id(), "5000m", ""), "serve");
+    assert_eq!(late.status(), 200);
+    assert_eq!(late.headers["connection"], "close");
+    let body = json!({"id": id, "from": "s-0", "state": "done", "result": "at last"}).to_string();
+    call(program.at, "POST /v1/job-events HTTP/1.1", &body);
+    assert_eq!(answer(&taken).unwrap().body, "at last");
+    assert!(program.child.wait().unwrap().success());
+}
+
+#[test]
+fn bad_configuration_ends_it_with_one_line_that_names_the_key() {
+    let discovery = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let good = Program::config(discovery, settings());
+    let with = |pointer: &str, value: Value| {
+        let mut config = good.clone();
+        *config.pointer_mut(pointer).unwrap() = value;
+        config
+    };
+    let gateway = |from: &str, to: &str| Some(GATEWAY.replace(from, to));
+    for (config, gateway, key) in [
+        (with("/listen", json!("nowhere")), None, "listen"),
+        (with("/seed", json!("xyz")), None, "seed"),
+        (with("/settings/rules/coldFrom", json!("warm")), None, "settings.rules.coldFrom"),
+        (with("/settings/rules/coldFrom", json!(7)), None, "cold_from"),
+        (with("/settings/services/0/repeat", json!("maybe")), None, "repeat"),
+        (good.clone(), gateway("class = \"wave-release\"", "class = \"waves\""), "route.class"),
+        (good.clone(), gateway("plaintext = true", ""), "plaintext"),
+        (good.clone(), gateway("fetch_wait_ms = 200", "fetch_wait = 200"), "fetch_wait"),
+        (good.clone(), gateway("fetch_wait_ms = 200", "fetch_wait_ms = \"long\""), "fetch_wait_ms"),
+        (good.clone(), gateway("zone = \"hall-a\"", "zone = \"hall-z\""), "zone"),
+        (good.clone(), gateway("listen = ", "listen = = "), "gateway.toml"),
+    ] {
+        let mut command = Program::command(&config, gateway.as_deref());
+        let output = command.env("RUST_LOG", "info").stderr(Stdio::piped()).output().unwrap();
+        let log = String::from_utf8(output.stderr).unwrap();
+        assert!(!output.status.success());
+        assert!(log.lines().count() == 1 && log.contains(key), "{key}: {log}");
+    }
+}
+
+/// More clients than descriptors: they wait or are turned away, and the program lives.
+#[test]
+fn at_the_descriptor_limit_it_degrades_and_lives() {
+    let runner = Runner::start("s-0");
+    let discovery = Discovery::start(vec![host("s-0", runner.at, "hall-a", "active")]);
+    let mut config = Program::config(discovery.at, settings());
+    config["limits"]["sockets"] = json!(64);
+    let program = Program::start_with(config, None);
+    runner.call_back_to(&program);
+    let idle: Vec<_> = (0..13).map(|_| TcpStream::connect(program.at).unwrap()).collect();
+    let clients: Vec<_> = (0..40)
+        .map(|_| {
+            let at = program.at;
+            thread::spawn(move || call(at, &api("short-pick", &new_id(), "5000m", ""), "early").status())
+        })
+        .collect();
+    // A worker's call-back must find a connection too: the idle ones make room.
+    drop(idle);
+    let heard: Vec<_> = clients.into_iter().map(|client| client.join().unwrap()).collect();
+    assert!(heard.iter().all(|status| [200, 503, 502].contains(status)), "{heard:?}");
+    assert_eq!(call(program.at, "GET /up HTTP/1.1", "").status(), 200);
+}
