--- a/node/src/core.rs
+++ b/node/src/core.rs
@@ -11,6 +11,9 @@
 use std::collections::{BTreeMap, BinaryHeap, HashMap, VecDeque};
 use std::rc::Rc;
 
+#[cfg(test)]
+mod model;
+
 /// Whoever waits for an answer: a number that a front made up.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct Ticket(pub u64);
--- /dev/null
+++ b/node/src/core/model.rs
@@ -0,0 +1,327 @@
+//! Random steps against a model of what a client's connection and a runner's may be told: each
+//! request waits, is answered or left; each attempt is out or over. The model knows no decision, only
+//! the rules that every decision must keep.
+
+use super::*;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use sablerun_settings::Names;
+
+const ZONES: [&str; 4] = ["hall-a", "hall-a", "hall-b", "hall-b"];
+
+#[derive(Clone, Debug)]
+enum Step {
+    Arrive {
+        class: u32,
+        patience_ms: u64,
+    },
+    Leave(prop::sample::Index),
+    Start(prop::sample::Index),
+    /// A runner's word by id and name, or what a link saw, of an attempt that is out or over.
+    End {
+        of: prop::sample::Index,
+        told: bool,
+        outcome: sr::Outcome,
+    },
+    /// A word of a runner that may not hold the job at all.
+    Stray {
+        of: prop::sample::Index,
+        runner: usize,
+    },
+    List {
+        runner: usize,
+        standing: sr::Standing,
+    },
+    ListFailed,
+    Pass {
+        ms: u64,
+    },
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    use sr::Outcome::*;
+    let index = any::<prop::sample::Index>;
+    let outcome = prop::sample::select(vec![Ok, Ok, Ok, Error, Full, Timeout, ConnectFailed, Reset]);
+    let standing = prop::sample::select(vec![
+        sr::Standing::Ready,
+        sr::Standing::Ready,
+        sr::Standing::Draining,
+        sr::Standing::Gone,
+    ]);
+    prop_oneof![
+        5 => (0..3u32, 1..3000u64).prop_map(|(class, patience_ms)| Step::Arrive { class, patience_ms }),
+        1 => index().prop_map(Step::Leave),
+        3 => index().prop_map(Step::Start),
+        6 => (index(), any::<bool>(), outcome).prop_map(|(of, told, outcome)| Step::End { of, told, outcome }),
+        1 => (index(), 0..4usize).prop_map(|(of, runner)| Step::Stray { of, runner }),
+        2 => (0..4usize, standing).prop_map(|(runner, standing)| Step::List { runner, standing }),
+        1 => Just(Step::ListFailed),
+        4 => (1..400u64).prop_map(|ms| Step::Pass { ms }),
+    ]
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Client {
+    Waits,
+    Answered,
+    Left,
+}
+
+struct Asked {
+    class: u32,
+    deadline: sr::Time,
+    client: Client,
+}
+
+struct Tried {
+    id: AttemptId,
+    ticket: usize,
+    runner: usize,
+    /// `None` while it is out; else whether it may have run.
+    over: Option<bool>,
+}
+
+struct World {
+    core: Core<usize>,
+    now: sr::Time,
+    asked: Vec<Asked>,
+    tried: Vec<Tried>,
+    standing: [sr::Standing; 4],
+}
+
+fn name(runner: usize) -> String {
+    format!("s-{runner}")
+}
+
+fn listed(runner: usize, standing: sr::Standing) -> Listed {
+    let (zone, kind) = (ZONES[runner].to_owned(), "k".to_owned());
+    Listed { name: name(runner), zone, kind, cell: 0, standing, size: 1.0, up_since: None }
+}
+
+fn effects() -> [sr::Effect; 3] {
+    [sr::Effect::Safe, sr::Effect::Keyed(sr::Group::Zone), sr::Effect::Unsafe]
+}
+
+impl World {
+    fn new(seed: u64) -> World {
+        let class = |effect| sr::Class {
+            objective: sr::Span::from_secs(0.2),
+            stretch: 2.0,
+            deadline: sr::Span::from_secs(3.0),
+            worth: 1.0,
+            late_worth: 0.0,
+            effect,
+            window: sr::Span::from_secs(10.0),
+            kind: None,
+        };
+        let settings = sr::Settings {
+            classes: effects().into_iter().map(class).collect(),
+            parallel: true,
+            tells_start: true,
+            max_attempts: 5,
+            discovery: sr::Discovery::Asked,
+            max_hold_off: sr::Span::from_secs(2.0),
+            ..sr::Settings::default()
+        };
+        let names = Names::default;
+        let (workers, zones, kinds, classes, tenants) = (names(), names(), names(), names(), names());
+        let tables = Tables { workers, zones, kinds, classes, tenants, fields: Vec::new() };
+        let now = sr::Time(1_000_000_000_000);
+        let core = Core::new(settings, tables, seed, now, 20).unwrap();
+        let standing = [sr::Standing::Ready; 4];
+        let mut world = World { core, now, asked: Vec::new(), tried: Vec::new(), standing };
+        let all = (0..4).map(|runner| listed(runner, sr::Standing::Ready)).collect();
+        world.input(Input::List(Source::Discovery, sr::ListKind::Saved, all), None);
+        world
+    }
+
+    /// Steps the core and holds each effect against the model; `ends` is the attempt that this input
+    /// ends, if it is out, and whether it may have run.
+    fn input(&mut self, input: Input<usize>, ends: Option<(usize, sr::Outcome)>) {
+        let effects = self.core.step(self.now, input);
+        for effect in effects {
+            match effect {
+                Effect::Answer(Ticket(ticket), answer) => self.answered(ticket as usize, answer, ends),
+                Effect::Start { attempt, id, runner, job, .. } => {
+                    let runner: usize = runner[2..].parse().unwrap();
+                    let asked = &self.asked[job];
+                    assert_eq!(&*id, format!("r{job}"));
+                    assert_eq!(asked.client, Client::Waits, "an attempt for nobody");
+                    assert_eq!(
+                        self.standing[runner],
+                        sr::Standing::Ready,
+                        "work for one that drains or is gone"
+                    );
+                    let others: Vec<_> = self.tried.iter().filter(|t| t.ticket == job).collect();
+                    assert!(others.len() < 5, "too many attempts");
+                    assert!(
+                        !others.iter().any(|t| t.runner == runner && t.over.is_none()),
+                        "two attempts at one runner"
+                    );
+                    let ran = others.iter().find(|t| t.over != Some(false));
+                    let allowed = ran.is_none_or(|ran| match effects_of(asked.class) {
+                        sr::Effect::Safe => true,
+                        sr::Effect::Keyed(_) => ZONES[ran.runner] == ZONES[runner],
+                        sr::Effect::Unsafe => false,
+                    });
+                    assert!(allowed, "repeated further than its class permits");
+                    self.tried.push(Tried { id: attempt, ticket: job, runner, over: None });
+                }
+                Effect::GiveUp(attempt) => self.over(attempt, true),
+                Effect::Over(attempt) => {
+                    let (ended, outcome) = ends.expect("an attempt ended by itself");
+                    assert_eq!(self.tried[ended].id, attempt);
+                    self.over(attempt, !outcome.never_ran());
+                }
+                Effect::Subscribe | Effect::Fetch | Effect::Probe(_) | Effect::Release(_) => {}
+            }
+        }
+    }
+
+    fn over(&mut self, attempt: AttemptId, may_have_run: bool) {
+        let tried = self.tried.iter_mut().find(|t| t.id == attempt).expect("it was begun");
+        assert_eq!(tried.over, None, "an attempt ended twice");
+        tried.over = Some(may_have_run);
+    }
+
+    fn answered(&mut self, ticket: usize, answer: Answer, ends: Option<(usize, sr::Outcome)>) {
+        assert_eq!(self.asked[ticket].client, Client::Waits, "a second answer, or one to nobody");
+        self.asked[ticket].client = Client::Answered;
+        let mut tried = self.tried.iter().filter(|t| t.ticket == ticket);
+        match answer {
+            Answer::Served(result) => {
+                let (ended, outcome) = ends.expect("a runner made the result");
+                assert_eq!((self.tried[ended].ticket, outcome), (ticket, sr::Outcome::Ok));
+                assert_eq!(result, format!("made of r{ticket}").as_bytes());
+            }
+            Answer::Refused(_) => {
+                let harmless = effects_of(self.asked[ticket].class) == sr::Effect::Safe;
+                assert!(harmless || tried.all(|t| t.over == Some(false)), "refused what may have run");
+            }
+            Answer::Failed(_) => {}
+        }
+    }
+
+    fn pass(&mut self, until: sr::Time) {
+        while let Some(due) = self.core.due().filter(|due| *due <= until) {
+            self.now = self.now.max(due);
+            self.input(Input::Due, None);
+        }
+        self.now = until;
+        let overdue = |asked: &Asked| asked.client == Client::Waits && asked.deadline < until;
+        assert!(!self.asked.iter().any(overdue), "no answer by the deadline");
+    }
+
+    fn take(&mut self, step: Step) {
+        match step {
+            Step::Arrive { class, patience_ms } => {
+                let number = self.asked.len();
+                let deadline = self.now + sr::Span(patience_ms * 1_000_000);
+                self.asked.push(Asked { class, deadline, client: Client::Waits });
+                let arrival = Arrival {
+                    ticket: Ticket(number as u64),
+                    id: format!("r{number}").into(),
+                    class,
+                    tenant: None,
+                    deadline,
+                    slots: 1.0,
+                    memory: 0.0,
+                    estimate: sr::Span(0),
+                    retry: false,
+                    job: number,
+                };
+                self.input(Input::Arrived(arrival), None);
+            }
+            Step::Leave(of) if !self.asked.is_empty() => {
+                let number = of.index(self.asked.len());
+                if self.asked[number].client == Client::Waits {
+                    self.asked[number].client = Client::Left;
+                }
+                self.input(Input::ClientGone(Ticket(number as u64)), None);
+            }
+            Step::Start(of) if !self.tried.is_empty() => {
+                let tried = &self.tried[of.index(self.tried.len())];
+                let (id, from) = (format!("r{}", tried.ticket), name(tried.runner));
+                self.input(Input::Started { id, from }, None);
+            }
+            Step::End { of, told, outcome } if !self.tried.is_empty() => {
+                let mut number = of.index(self.tried.len());
+                let (ticket, runner) = (self.tried[number].ticket, self.tried[number].runner);
+                if told {
+                    // By name alone a word may be about a later attempt there, which is out.
+                    let out = |t: &Tried| (t.ticket, t.runner, t.over) == (ticket, runner, None);
+                    number = self.tried.iter().position(out).unwrap_or(number);
+                }
+                let ends = self.tried[number].over.is_none().then_some((number, outcome));
+                let result = format!("made of r{ticket}").into();
+                let ending = Ending { outcome, result, report: None };
+                let input = match told {
+                    true => Input::Told { id: format!("r{ticket}"), from: name(runner), ending },
+                    false => Input::Ended(self.tried[number].id, ending),
+                };
+                self.input(input, ends);
+            }
+            Step::Stray { of, runner } if !self.asked.is_empty() => {
+                let ticket = of.index(self.asked.len());
+                let holds = |t: &Tried| (t.ticket, t.runner, t.over) == (ticket, runner, None);
+                if !self.tried.iter().any(holds) {
+                    let ending = Ending::bare(sr::Outcome::Ok);
+                    let (id, from) = (format!("r{ticket}"), name(runner));
+                    self.input(Input::Told { id, from, ending }, None);
+                }
+            }
+            Step::List { runner, standing } => {
+                self.standing[runner] = standing;
+                let change = vec![listed(runner, standing)];
+                self.input(Input::List(Source::Discovery, sr::ListKind::Delta, change), None);
+            }
+            Step::ListFailed => self.input(Input::ListFailed, None),
+            Step::Pass { ms } => self.pass(self.now + sr::Span(ms * 1_000_000)),
+            Step::Leave(_) | Step::Start(_) | Step::End { .. } | Step::Stray { .. } => {}
+        }
+    }
+}
+
+fn effects_of(class: u32) -> sr::Effect {
+    effects()[class as usize]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 300,
+        rng_seed: RngSeed::Fixed(0x5ab1e),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn every_request_is_answered_once_and_in_time_and_every_attempt_ends_once(
+        seed in any::<u64>(),
+        steps in prop::collection::vec(step(), 1..120),
+    ) {
+        let mut world = World::new(seed);
+        for step in steps {
+            world.take(step);
+        }
+        // In the end nothing is owed, out or held.
+        world.pass(world.now + sr::Span::from_secs(10.0));
+        assert!(world.asked.iter().all(|asked| asked.client != Client::Waits));
+        assert!(world.tried.iter().all(|tried| tried.over.is_some()));
+        assert_eq!((world.core.open(), world.core.requests.len(), world.core.ids.len()), (0, 0, 0));
+    }
+}
+
+/// A whole list of one source says nothing of the runners that another has told of.
+#[test]
+fn a_whole_list_leaves_other_sources_runners_alone() {
+    let mut world = World::new(1);
+    let gone = (0..4).map(|runner| listed(runner, sr::Standing::Gone)).collect();
+    world.input(Input::List(Source::Discovery, sr::ListKind::Delta, gone), None);
+    world.standing = [sr::Standing::Gone; 4];
+    world.standing[1] = sr::Standing::Ready;
+    let caller = vec![listed(1, sr::Standing::Ready)];
+    world.input(Input::List(Source::Callers, sr::ListKind::Delta, caller), None);
+    world.input(Input::List(Source::Discovery, sr::ListKind::Full, Vec::new()), None);
+    world.take(Step::Arrive { class: 0, patience_ms: 1000 });
+    assert_eq!(world.tried.len(), 1);
+}
--- a/node/src/limits.rs
+++ b/node/src/limits.rs
@@ -20,6 +20,8 @@
     pub frame: usize,
     /// Most connections to runners.
     pub runners: usize,
+    /// Connections that may wait to be accepted.
+    pub backlog: u32,
     /// Wait before a listener that ran out of descriptors tries again.
     pub accept_pause: Duration,
     /// Time for a client to write a request's head.
@@ -32,6 +34,18 @@
     pub connect: Duration,
     /// Idle time after which a connection to a runner is not used any more.
     pub idle: Duration,
+    /// Age at which a connection to a runner is closed, however much it is used.
+    pub lifetime: Duration,
+    /// Shortest idle time after which a connection may be closed to make room.
+    pub resting: Duration,
+    /// Time between looks at what only time brings about.
+    pub sweep: Duration,
+    /// Time for which a worker may run a job that nobody waits for any more.
+    pub reserve: Duration,
+    /// Time between summaries in the log.
+    pub summary: Duration,
+    /// Time for the last answers to go out at the end.
+    pub flush: Duration,
     /// Time for a probe's answer.
     pub probe: Duration,
     /// Time for a runner to confirm that it gives a job up.
@@ -69,6 +83,13 @@
             // A job's arguments, and as much again for what stands round them.
             frame: body * 2,
             runners: free - accepted,
+            backlog: 1024,
+            lifetime: Duration::from_secs(24 * 3600),
+            resting: Duration::from_millis(50),
+            sweep: Duration::from_secs(1),
+            reserve: Duration::from_secs(1800),
+            summary: Duration::from_secs(10),
+            flush: Duration::from_millis(100),
             accept_pause: Duration::from_millis(20),
             head: Duration::from_secs(10),
             body_wait: Duration::from_secs(10),
@@ -85,3 +106,23 @@
         }
     }
 }
+
+/// Settings that a test needs for no more than their limits.
+#[cfg(test)]
+pub fn test_env() -> Env {
+    let text = r#"{"balancers":1,"services":[],"failureDomains":[],"zone":"a","membershipMode":"pushed",
+        "limits":{"tryLimit":3,"connIdle":10000000000,"connectTimeout":250000000},"tick":1000000,
+        "reporting":{},"rules":{"coldFrom":1,"warmAfter":1,"fallMultiple":1,"fall":1,"drainGrace":1}}"#;
+    serde_json::from_str(text).expect("the text is right")
+}
+
+#[test]
+fn the_parts_fit_into_the_descriptors_and_idle_connections_are_dropped_in_time() {
+    for sockets in [1024, 4096] {
+        let limits = Limits::new(sockets, 192, &test_env(), true);
+        assert!(limits.clients + limits.callers + limits.runners + 40 <= sockets);
+        assert!(limits.idle <= Duration::from_secs(8));
+        assert!(limits.open * limits.body <= 192 * 1024 * 1024 / 2);
+        assert_eq!(Limits::new(sockets, 192, &test_env(), false).callers, 0);
+    }
+}
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -16,7 +16,6 @@
 use std::net::SocketAddr;
 use std::path::Path;
 use std::process::ExitCode;
-use std::time::Duration;
 use tokio::signal::unix::{SignalKind, signal};
 
 /// What `$NODE_CONFIG` holds.
@@ -90,15 +89,17 @@
     runtime.add_link(runners.clone());
     let roster = discovery::Discovery::new(&runtime, &runners, config.discovery);
     runtime.set_roster(roster.clone());
+    let backlog = runtime.limits.backlog;
     let second = gateway.map(|gateway| {
         let at = gateway.listen;
         let front = Faktory::new(&runtime, gateway, deadlines, with_tenants)?;
-        Ok((front, platform::listen(at).map_err(|e| format!("listen: {at}: {e}"))?))
+        Ok((front, platform::listen(at, backlog).map_err(|e| format!("listen: {at}: {e}"))?))
     });
     let second = second.transpose().map_err(|e: String| format!("--gateway: {e}"))?;
     let mut terminate = signal(SignalKind::terminate()).map_err(|e| format!("SIGTERM: {e}"))?;
     let mut interrupt = signal(SignalKind::interrupt()).map_err(|e| format!("SIGINT: {e}"))?;
-    let listener = platform::listen(config.listen).map_err(|e| format!("listen: {}: {e}", config.listen))?;
+    let listener =
+        platform::listen(config.listen, backlog).map_err(|e| format!("listen: {}: {e}", config.listen))?;
 
     if let Some(known) = config.known {
         roster.take(sr::ListKind::Saved, known);
@@ -123,7 +124,7 @@
         (actix_rt::spawn(front.clone().serve(listener)), front)
     });
     let mut hang_up = signal(SignalKind::hangup()).map_err(|e| format!("SIGHUP: {e}"))?;
-    let mut minute = tokio::time::interval(Duration::from_secs(10));
+    let mut summary = tokio::time::interval(runtime.limits.summary);
     loop {
         tokio::select! {
             _ = terminate.recv() => break,
@@ -133,7 +134,7 @@
                     front.reload();
                 }
             }
-            _ = minute.tick() => log::info!("{}", runtime.summary()),
+            _ = summary.tick() => log::info!("{}", runtime.summary()),
         }
     }
     log::info!("told to end: {}", runtime.summary());
@@ -146,7 +147,7 @@
     front.close_idle();
     runtime.answered(runtime.limits.stop - runtime.limits.spell).await;
     // Whatever was answered last is still on its way out.
-    front.drained(Duration::from_millis(100)).await;
+    front.drained(runtime.limits.flush).await;
     log::info!("ends: {}", runtime.summary());
     Ok(())
 }
--- a/node/src/net/faktory.rs
+++ b/node/src/net/faktory.rs
@@ -26,6 +26,9 @@
 use tokio::sync::{Notify, oneshot};
 use tokio_rustls::TlsAcceptor;
 
+#[cfg(test)]
+mod model;
+
 /// The operator's file.
 #[derive(Clone, Debug, serde::Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -247,7 +250,8 @@
     zone: String,
     kind: String,
     since: sr::Time,
-    connections: usize,
+    /// Its connections, by number: one of a process of that wid given up before is not among them.
+    connections: HashSet<u64>,
     beat: Instant,
     quiet: bool,
     queues: HashSet<String>,
@@ -382,7 +386,8 @@
     pub async fn look_after(self: Rc<Self>) {
         let limit = Duration::from_secs_f64(self.gateway.beat_limit_s);
         let reload = self.gateway.tls.as_ref().map_or(f64::MAX, |tls| tls.reload_s);
-        let pause = (limit.as_secs_f64() / 10.0).min(1.0).min(reload);
+        let sweep = self.runtime.limits.sweep.as_secs_f64();
+        let pause = (limit.as_secs_f64() / 10.0).min(sweep).min(reload);
         let mut looked = Instant::now();
         loop {
             tokio::time::sleep(Duration::from_secs_f64(pause)).await;
@@ -391,6 +396,12 @@
             let gone: Vec<_> =
                 workers.iter().filter(|(_, w)| silent(w)).map(|(wid, _)| wid.clone()).collect();
             drop(workers);
+            // A job that nobody waits for is kept in mind only while its worker may rightly run it.
+            let old =
+                |job: &Running| job.attempt.is_none() && job.since.elapsed() > self.runtime.limits.reserve;
+            let mut workers = self.workers.borrow_mut();
+            workers.values_mut().for_each(|worker| worker.running.retain(|_, job| !old(job)));
+            drop(workers);
             for wid in gone {
                 log::warn!("faktory: worker {wid} has missed its beats: gone");
                 self.lose(&wid, None);
@@ -486,7 +497,7 @@
         match &hello["wid"] {
             Value::Null => {}
             Value::String(wid) if !wid.is_empty() && wid.len() <= 128 && wid.is_ascii() => {
-                self.join(wid, peer)?;
+                self.join(wid, peer, session.number)?;
                 session.wid = Some(wid.clone());
             }
             _ => return Err(malformed("wid")),
@@ -495,7 +506,7 @@
     }
 
     /// A worker's connection has said who it is.
-    fn join(&self, wid: &str, peer: &Peer) -> Result<(), End> {
+    fn join(&self, wid: &str, peer: &Peer, connection: u64) -> Result<(), End> {
         if !peer.worker {
             log::warn!("faktory: {} came as worker {wid}, but is none", peer.name);
             return Err(End::Say("DENIED this identity is not a worker's".to_owned()));
@@ -512,7 +523,7 @@
             kind: place(&peer.kind, &self.gateway.kind).unwrap_or_default(),
             // A wid not met before is a process that has just started, and cold.
             since: self.runtime.clock.now(),
-            connections: 0,
+            connections: HashSet::new(),
             beat: Instant::now(),
             quiet: false,
             queues: HashSet::new(),
@@ -521,9 +532,9 @@
             running: HashMap::new(),
             latency: None,
         });
-        worker.connections += 1;
+        worker.connections.insert(connection);
         worker.beat = Instant::now();
-        let back = worker.connections == 1 && !worker.queues.is_empty();
+        let back = worker.connections.len() == 1 && !worker.queues.is_empty();
         drop(workers);
         if back {
             log::info!("faktory: worker {wid} of {} is back", peer.name);
@@ -537,7 +548,7 @@
         let workers = self.workers.borrow();
         let Some(worker) = workers.get(wid) else { return };
         let standing = match worker {
-            Worker { connections: 0, .. } => sr::Standing::Gone,
+            worker if worker.connections.is_empty() => sr::Standing::Gone,
             Worker { quiet: true, .. } => sr::Standing::Draining,
             _ => sr::Standing::Ready,
         };
@@ -570,10 +581,12 @@
                     Ok(arrival) => self.push(wire, arrival).await?,
                     Err(what) => Err(format!("MALFORMED PUSH: {what}")),
                 },
+                ("FETCH", Some(wid)) if !self.holds(wid, session.number) => Err(given_up()),
                 ("FETCH", Some(wid)) => {
                     self.fetch(wire, session.number, wid, rest).await?;
                     continue;
                 }
+                ("ACK" | "FAIL" | "BEAT", Some(wid)) if !self.holds(wid, session.number) => Err(given_up()),
                 ("ACK", Some(wid)) => self.settle(wid, rest, sr::Outcome::Ok),
                 ("FAIL", Some(wid)) => self.settle(wid, rest, sr::Outcome::Error),
                 ("BEAT", Some(wid)) => self.beat(wid, rest),
@@ -741,6 +754,11 @@
         Ok(())
     }
 
+    /// Whether a connection is one of a worker's that is not given up.
+    fn holds(&self, wid: &str, connection: u64) -> bool {
+        self.workers.borrow().get(wid).is_some_and(|worker| worker.connections.contains(&connection))
+    }
+
     /// Notes a free slot, and gives it what waits for one.
     fn park(&self, wid: &str, parked: Parked) {
         let mut workers = self.workers.borrow_mut();
@@ -818,9 +836,7 @@
         }
         let quiet = matches!(beat["current_state"].as_str(), Some("quiet" | "terminate"));
         let mut workers = self.workers.borrow_mut();
-        let Some(worker) = workers.get_mut(wid) else {
-            return Err("DENIED this worker was given up: say HELLO again".to_owned());
-        };
+        let Some(worker) = workers.get_mut(wid) else { return Err(given_up()) };
         worker.beat = Instant::now();
         if !quiet || worker.quiet {
             return Ok(());
@@ -845,10 +861,16 @@
     fn lose(&self, wid: &str, connection: Option<u64>) {
         let mut workers = self.workers.borrow_mut();
         let Some(worker) = workers.get_mut(wid) else { return };
+        // Guards against the late end of a connection of a process of that wid given up before.
+        if connection.is_some_and(|connection| !worker.connections.remove(&connection)) {
+            return;
+        }
         let lost = |of: u64| connection.is_none_or(|connection| connection == of);
         worker.parked.retain(|parked| !lost(parked.connection));
-        worker.connections = if connection.is_some() { worker.connections.saturating_sub(1) } else { 0 };
-        let gone = worker.connections == 0;
+        if connection.is_none() {
+            worker.connections.clear();
+        }
+        let gone = worker.connections.is_empty();
         let (mut broken, mut unsent) = (Vec::new(), Vec::new());
         worker.running.retain(|_, running| {
             if lost(running.connection) {
@@ -874,7 +896,7 @@
         let each = workers.iter().map(|(wid, worker)| {
             json!({
                 "wid": wid,
-                "connections": worker.connections,
+                "connections": worker.connections.len(),
                 "quiet": worker.quiet,
                 "parked": worker.parked.len(),
                 "waiting": worker.waiting.len(),
@@ -935,7 +957,8 @@
         let (queue, frame) = self.frame(&id, &job);
         let mut workers = self.workers.borrow_mut();
         let outcome = match workers.get_mut(wid) {
-            None | Some(Worker { connections: 0, .. }) => sr::Outcome::ConnectFailed,
+            None => sr::Outcome::ConnectFailed,
+            Some(worker) if worker.connections.is_empty() => sr::Outcome::ConnectFailed,
             Some(worker) => {
                 // One attempt of a request at a time: one given up may still run there.
                 let there = worker.running.contains_key(&id) || worker.waiting.iter().any(|w| w.jid == id);
@@ -975,7 +998,7 @@
     fn probe(&self, runner: &str) {
         // What a probe would ask for is known here already.
         let wid = runner.strip_prefix("wid:").unwrap_or(runner);
-        let report = self.workers.borrow().get(wid).filter(|w| w.connections > 0).map(Worker::report);
+        let report = self.workers.borrow().get(wid).filter(|w| !w.connections.is_empty()).map(Worker::report);
         self.runtime.feed(Input::Probed { runner: runner.to_owned(), ok: report.is_some(), report });
     }
 
@@ -1085,6 +1108,10 @@
     RandomState::new().hash_one((number, runtime.clock.now().0))
 }
 
+fn given_up() -> String {
+    "DENIED this worker was given up: say HELLO again".to_owned()
+}
+
 fn printable(text: &str) -> String {
     text.chars().filter(|c| c.is_ascii_graphic()).take(32).collect()
 }
--- /dev/null
+++ b/node/src/net/faktory/model.rs
@@ -0,0 +1,148 @@
+//! Random lines against a model of a Faktory connection's states: new, a client's, a worker's, closed.
+//! Whatever comes, cut anywhere, the reply is the one that the state allows.
+
+use super::*;
+use crate::core::Core;
+use crate::limits::Limits;
+use crate::runtime::Clock;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use sablerun_settings::{Names, Tables};
+use tokio::io::{AsyncBufReadExt, BufReader};
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum State {
+    New,
+    Client,
+    Worker,
+    Closed,
+}
+
+/// The lines, and the reply that each state gives; no reply is the end of the connection.
+fn reply(state: State, line: &str) -> (State, Option<&'static str>) {
+    use State::*;
+    let worker = |reply| if state == Worker { (Worker, Some(reply)) } else { (state, Some("-ERR DENIED")) };
+    match (state, line) {
+        (Closed, _) => (Closed, None),
+        (New, r#"HELLO {"v":2}"#) => (Client, Some("+OK")),
+        (New, r#"HELLO {"v":2,"wid":"w"}"#) => (Worker, Some("+OK")),
+        (New, _) => (Closed, Some("-ERR MALFORMED")),
+        (_, "END") => (Closed, None),
+        (_, "INFO") => (state, Some("$")),
+        (_, "FLUSH") => (state, Some("-ERR DENIED")),
+        (_, "PUSH {}") => (state, Some("-ERR MALFORMED PUSH")),
+        // Nobody runs it: refused when its aim is past.
+        (_, line) if line.starts_with("PUSH ") => (state, Some("-ERR REFUSED retry_after=")),
+        (_, "FETCH q") => worker("$-1"),
+        (_, r#"ACK {"jid":"12345678"}"# | r#"FAIL {"jid":"12345678"}"# | r#"BEAT {"wid":"w"}"#) => {
+            worker("+OK")
+        }
+        (_, "ACK" | "FAIL x") => worker("-ERR MALFORMED"),
+        (_, r#"BEAT {"wid":"other"}"#) => worker("-ERR MALFORMED BEAT"),
+        _ => (state, Some("-ERR UNKNOWN")),
+    }
+}
+
+const LINES: [&str; 17] = [
+    r#"HELLO {"v":2}"#,
+    r#"HELLO {"v":2,"wid":"w"}"#,
+    r#"HELLO {"v":1}"#,
+    "HELLO",
+    "END",
+    "INFO",
+    "FLUSH",
+    "PUSH {}",
+    r#"PUSH {"jid":"12345678","jobtype":"t","queue":"q","args":[]}"#,
+    "FETCH q",
+    r#"ACK {"jid":"12345678"}"#,
+    r#"FAIL {"jid":"12345678"}"#,
+    "ACK",
+    "FAIL x",
+    r#"BEAT {"wid":"w"}"#,
+    r#"BEAT {"wid":"other"}"#,
+    "",
+];
+
+fn front() -> Rc<Faktory> {
+    let class = sr::Class {
+        objective: sr::Span::from_secs(0.002),
+        stretch: 0.0,
+        deadline: sr::Span::from_secs(5.0),
+        worth: 1.0,
+        late_worth: 0.0,
+        effect: sr::Effect::Safe,
+        window: sr::Span(0),
+        kind: None,
+    };
+    let max_hold_off = sr::Span::from_secs(1.0);
+    let settings = sr::Settings { classes: vec![class], max_hold_off, ..sr::Settings::default() };
+    let (names, classes) = (Names::default, Names::of([&"c".to_owned()]));
+    let (workers, zones, kinds, tenants) = (names(), names(), names(), names());
+    let tables = Tables { workers, zones, kinds, classes, tenants, fields: Vec::new() };
+    let env = crate::limits::test_env();
+    let limits = Limits::new(1024, 192, &env, true);
+    let clock = Clock::new();
+    let core = Core::new(settings, tables, 1, clock.now(), limits.open).unwrap();
+    let runtime = Runtime::new(core, clock, limits);
+    let file = "listen = \"127.0.0.1:0\"\nplaintext = true\nfetch_wait_ms = 1\n[[route]]\nclass = \"c\"\n";
+    let gateway = toml::from_str(file).unwrap();
+    let front = Faktory::new(&runtime, gateway, vec![sr::Span::from_secs(5.0)], false).unwrap();
+    runtime.add_link(front.clone());
+    let timer = runtime.clone();
+    actix_rt::spawn(async move { timer.keep_time().await });
+    front
+}
+
+async fn converse(lines: Vec<usize>, cut: usize) {
+    let front = front();
+    let (near, far) = tokio::io::duplex(256);
+    let peer = front.plain_peer(([127, 0, 0, 1], 1).into());
+    let ended = actix_rt::spawn(front.converse(far, peer));
+    let (reading, mut writing) = tokio::io::split(near);
+    let mut reading = BufReader::new(reading);
+    let mut said = String::new();
+    reading.read_line(&mut said).await.unwrap();
+    assert_eq!(said, "+HI {\"v\":2}\r\n");
+    let mut state = State::New;
+    for line in lines.into_iter().map(|n| LINES[n]) {
+        let (after, expected) = reply(state, line);
+        for part in format!("{line}\r\n").as_bytes().chunks(cut) {
+            // It may have closed already.
+            let _ = writing.write_all(part).await;
+            tokio::task::yield_now().await;
+        }
+        said.clear();
+        let _ = reading.read_line(&mut said).await;
+        match expected {
+            None => assert_eq!(said, "", "{state:?} {line}"),
+            Some(start) => assert!(said.starts_with(start), "{state:?} {line:?}: {said:?}, not {start:?}"),
+        }
+        if expected == Some("$") {
+            let mut body = vec![0; said[1..].trim().parse::<usize>().unwrap() + 2];
+            reading.read_exact(&mut body).await.unwrap();
+        }
+        state = after;
+    }
+    drop((reading, writing));
+    ended.await.unwrap();
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 100,
+        rng_seed: RngSeed::Fixed(0x5ab1e),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn a_connection_replies_as_its_state_allows(
+        hello in 0..2usize,
+        lines in prop::collection::vec(0..LINES.len(), 1..14),
+        cut in 1..80usize,
+        greets in prop::bool::weighted(0.9),
+    ) {
+        let lines = greets.then_some(hello).into_iter().chain(lines).collect();
+        actix_rt::System::new().block_on(converse(lines, cut));
+    }
+}
--- a/node/src/net/platform.rs
+++ b/node/src/net/platform.rs
@@ -17,24 +17,26 @@
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::net::{TcpListener, TcpSocket};
 use tokio::sync::Notify;
 use tokio::task::AbortHandle;
 
 /// Binds the dispatcher's address.
-pub fn listen(at: SocketAddr) -> std::io::Result<TcpListener> {
+pub fn listen(at: SocketAddr, backlog: u32) -> std::io::Result<TcpListener> {
     let socket = if at.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
     // Guards against a restart that finds its address held by connections of the one before.
     socket.set_reuseaddr(true)?;
     socket.bind(at)?;
-    socket.listen(1024)
+    socket.listen(backlog)
 }
 
 /// One accepted connection.
 struct Connection {
     /// Requests read from it that have no whole answer yet: one at the most.
     busy: Cell<u32>,
+    /// When it was opened or its last answer was made.
+    touched: Cell<Instant>,
 }
 
 /// The front.
@@ -83,9 +85,11 @@
             .await;
         let Ok(service) = service else { return };
         loop {
-            // At the limit the rest waits in the listener's queue; see `answered` for how room is made.
+            // At the limit the rest waits in the listener's queue. Guards against idle connections that
+            // keep clients and call-backs out: the one that has been idle the longest is closed.
             while self.connections.borrow().len() >= limits.clients {
-                self.closed.notified().await;
+                self.close_one(limits.sweep);
+                let _ = tokio::time::timeout(limits.accept_pause, self.closed.notified()).await;
             }
             let (stream, peer) = match listener.accept().await {
                 Ok(accepted) => accepted,
@@ -95,7 +99,7 @@
                     continue;
                 }
             };
-            let connection = Rc::new(Connection { busy: Cell::new(0) });
+            let connection = Rc::new(Connection { busy: Cell::new(0), touched: Cell::new(Instant::now()) });
             *self.opening.borrow_mut() = Some(connection.clone());
             let handling = service.call((stream, Some(peer)));
             let number = self.next.get();
@@ -112,6 +116,16 @@
         }
     }
 
+    /// Closes the connection that has been idle the longest, if for so long.
+    fn close_one(&self, idle: Duration) {
+        let connections = self.connections.borrow();
+        let resting =
+            connections.values().filter(|(c, _)| c.busy.get() == 0 && c.touched.get().elapsed() > idle);
+        if let Some((_, task)) = resting.min_by_key(|(c, _)| c.touched.get()) {
+            task.abort();
+        }
+    }
+
     /// Closes the connections on which no request is under way.
     pub fn close_idle(&self) {
         for (connection, task) in self.connections.borrow().values() {
@@ -147,6 +161,7 @@
         };
         if let Some(connection) = &connection {
             connection.busy.set(connection.busy.get() - 1);
+            connection.touched.set(Instant::now());
         }
         let mut response = Response::build(reply.status);
         if let Some((name, value)) = reply.header {
--- a/node/src/net/runners.rs
+++ b/node/src/net/runners.rs
@@ -56,7 +56,7 @@
         let pool = Pool::new(&runtime.limits);
         let client = pool.client(&runtime.limits);
         let sweep = pool.clone();
-        let pause = Duration::from_secs(1);
+        let pause = runtime.limits.sweep;
         actix_rt::spawn(async move {
             loop {
                 tokio::time::sleep(pause).await;
@@ -122,9 +122,12 @@
             }
         };
         // What a body holds is of no use, but unread it would cost the connection.
-        actix_rt::spawn(async move {
-            let _ = tokio::time::timeout(Duration::from_secs(1), response.body().limit(64 * 1024)).await;
-        });
+        if let Some(runtime) = self.runtime.upgrade() {
+            let (wait, most) = (runtime.limits.give_up, runtime.limits.body);
+            actix_rt::spawn(async move {
+                let _ = tokio::time::timeout(wait, response.body().limit(most)).await;
+            });
+        }
         outcome.map(|outcome| Ending { outcome, result: Bytes::new(), report })
     }
 
@@ -137,19 +140,19 @@
         let request = self.client.get(format!("http://{at}/metrics/load")).address(at).no_decompress();
         let mut response = request.send().await.ok()?;
         let head = self.header_report(response.headers());
-        let body = response.body().limit(64 * 1024).await.ok()?;
+        let runtime = self.runtime.upgrade()?;
+        let body = response.body().limit(runtime.limits.body).await.ok()?;
         if response.status() != StatusCode::OK {
             return None;
         }
         log::trace!("probe at {at}: {}", String::from_utf8_lossy(&body));
-        let runtime = self.runtime.upgrade()?;
         Some(head.or_else(|| runtime.with_tables(|tables| load_body(tables, &body))))
     }
 
     /// Lets a runner know that a job is given up, and those who wait for it that it does.
     fn withdraw(&self, id: Rc<str>, runner: String) {
         let Some(&at) = self.addresses.borrow().get(&runner) else { return };
-        let Some(this) = self.this.upgrade() else { return };
+        let (Some(this), Some(runtime)) = (self.this.upgrade(), self.runtime.upgrade()) else { return };
         let key = (id, runner);
         let done = Rc::new(Notify::new());
         self.given_up.borrow_mut().insert(key.clone(), done.clone());
@@ -157,10 +160,9 @@
             let url = format!("http://{at}/jobs/{}", key.0);
             let call = async {
                 let mut response = this.client.delete(url).address(at).no_decompress().send().await.ok()?;
-                response.body().limit(64 * 1024).await.ok()
+                response.body().limit(runtime.limits.body).await.ok()
             };
-            let limit = this.runtime.upgrade().map_or(Duration::ZERO, |runtime| runtime.limits.give_up);
-            if !matches!(tokio::time::timeout(limit, call).await, Ok(Some(_))) {
+            if !matches!(tokio::time::timeout(runtime.limits.give_up, call).await, Ok(Some(_))) {
                 log::debug!("runner {} did not confirm that it gives {} up", key.1, key.0);
             }
             this.given_up.borrow_mut().remove(&key);
@@ -353,11 +355,13 @@
     wires: Rc<RefCell<Vec<Weak<Wire>>>>,
     most: usize,
     idle: Duration,
+    resting: Duration,
 }
 
 impl Pool {
     pub fn new(limits: &Limits) -> Pool {
-        Pool { wires: Rc::default(), most: limits.runners, idle: limits.idle }
+        let Limits { runners: most, idle, resting, .. } = *limits;
+        Pool { wires: Rc::default(), most, idle, resting }
     }
 
     /// A client over this pool that adds nothing by itself: no redirects, time-outs or headers.
@@ -366,7 +370,7 @@
             .connector(self.clone())
             .timeout(limits.connect)
             .conn_keep_alive(limits.idle)
-            .conn_lifetime(Duration::from_secs(24 * 3600))
+            .conn_lifetime(limits.lifetime)
             .limit(limits.runners);
         Client::builder()
             .connector(connector)
@@ -384,7 +388,7 @@
 
     /// Closes connections that have been idle for so long to the addresses chosen.
     fn close_idle(&self, idle: Duration, chosen: impl Fn(SocketAddr) -> bool) {
-        let (now, idle) = (Instant::now(), idle.max(Duration::from_millis(50)));
+        let (now, idle) = (Instant::now(), idle.max(self.resting));
         for wire in self.wires.borrow().iter().filter_map(Weak::upgrade) {
             if chosen(wire.at) && !wire.awaiting.get() && now - wire.touched.get() > idle {
                 wire.stream.borrow_mut().take();
