--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -235,23 +235,38 @@
 
 impl Discovery {
     pub fn start(hosts: Vec<Value>) -> Discovery {
+        Discovery::planned(hosts, &[])
+    }
+
+    /// Its first calls go as planned: `503`, `reset`, or `silent` (the list, and no line after it).
+    pub fn planned(hosts: Vec<Value>, plan: &[&'static str]) -> Discovery {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let at = listener.local_addr().unwrap();
         let state = Arc::new(Mutex::new((1, hosts, Vec::new())));
         let (calls, shared) = (Events::default(), state.clone());
-        let calls_of = calls.clone();
+        let (calls_of, mut plan) = (calls.clone(), plan.to_vec().into_iter());
         thread::spawn(move || {
+            let mut silent = Vec::new();
             for stream in listener.incoming().map_while(Result::ok) {
                 let Some(call) = read_message(&mut BufReader::new(stream.try_clone().unwrap())) else {
                     continue;
                 };
-                let mut state = shared.lock().unwrap();
-                let mut stream = stream;
+                calls_of.push(call.first);
+                let (mut state, mut stream) = (shared.lock().unwrap(), stream);
+                let planned = plan.next();
+                match planned {
+                    Some("503") => {
+                        write!(stream, "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n").unwrap();
+                        continue;
+                    }
+                    Some("reset") => continue,
+                    _ => {}
+                }
                 write!(stream, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").unwrap();
                 let list = json!({"seq": state.0, "whole": true, "hosts": state.1}).to_string();
                 write_chunks(&mut stream, &format!("{list}\n"));
-                state.2.push(stream);
-                calls_of.push(call.first);
+                let watches = if planned == Some("silent") { &mut silent } else { &mut state.2 };
+                watches.push(stream);
             }
         });
         let quiet = state.clone();
--- a/node/tests/platform.rs
+++ b/node/tests/platform.rs
@@ -206,6 +206,41 @@
     assert!(discovery.calls.wait("stream=1", 2).contains("index=2"));
 }
 
+/// Calls that discovery turns down and a watch on which nobody speaks any more are made anew, and the
+/// list that is known at the start may be old: a runner that the first whole list leaves out is gone.
+#[test]
+fn the_watch_is_made_anew_and_an_old_list_is_corrected() {
+    let (old, new) = (Runner::start("s-0"), Runner::start("s-1"));
+    let hosts = vec![host("s-1", new.at, "hall-a", "active")];
+    let discovery = Discovery::planned(hosts, &["503", "reset", "silent"]);
+    let mut config = Program::config(discovery.at, settings());
+    config["known"]["hosts"] = json!([host("s-0", old.at, "hall-a", "active")]);
+    let program = Program::start_with(config, None);
+    old.call_back_to(&program);
+    new.call_back_to(&program);
+    for _ in 0..10 {
+        assert_eq!(call(program.at, &api("pick-route", &new_id(), "5000m", ""), "x").body, "by s-1");
+    }
+    program.log.wait("watch failed: answered 503", 1);
+    program.log.wait("watch failed: silent", 1);
+    program.log.wait("list Full", 2);
+    assert!(program.log.count("watch failed") >= 3);
+    assert_eq!(old.seen.count("POST"), 0);
+}
+
+/// The jobs of a client that sends one after another on one connection all get their answers there.
+#[test]
+fn a_connection_carries_one_request_after_another() {
+    let (_discovery, _runner, program) = one_runner();
+    let mut stream = TcpStream::connect(program.at).unwrap();
+    let mut reader = BufReader::new(stream.try_clone().unwrap());
+    for _ in 0..5 {
+        let head = api("short-pick", &new_id(), "5000m", "");
+        write!(stream, "{head}\r\nHost: t\r\nContent-Length: 1\r\n\r\nx").unwrap();
+        assert_eq!(read_message(&mut reader).unwrap().status(), 200);
+    }
+}
+
 #[test]
 fn after_sigterm_it_serves_on_answers_what_it_took_and_ends() {
     let (_discovery, runner, mut program) = one_runner();
