--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -5,7 +5,7 @@
 #![allow(dead_code, reason = "each test file uses its part")]
 
 use serde_json::{Value, json};
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
@@ -244,7 +244,8 @@
         let at = listener.local_addr().unwrap();
         let state = Arc::new(Mutex::new((1, hosts, Vec::new())));
         let (calls, shared) = (Events::default(), state.clone());
-        let (calls_of, mut plan) = (calls.clone(), plan.to_vec().into_iter());
+        let mut plan: VecDeque<_> = plan.iter().copied().collect();
+        let calls_of = calls.clone();
         thread::spawn(move || {
             let mut silent = Vec::new();
             for stream in listener.incoming().map_while(Result::ok) {
@@ -253,7 +254,7 @@
                 };
                 calls_of.push(call.first);
                 let (mut state, mut stream) = (shared.lock().unwrap(), stream);
-                let planned = plan.next();
+                let planned = plan.pop_front();
                 match planned {
                     Some("503") => {
                         write!(stream, "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n").unwrap();
