SIGHUP reads the configuration anew and moves the watch to the new discovery

Ruled out: the module's backoff (it asks 0.2 to 2 s apart, at an address that nobody answers on). At fault: main.rs handled SIGHUP for the Faktory front alone, and Discovery held a fixed address.

Now the address is the core's: Input::RosterAt, and Effect::Subscribe and Fetch say where. The new watch is asked for at once and for the whole list; the old one is kept until the new one has told something, and its end is no failure then. A file of no use leaves everything and logs an error. SIGHUP is heeded before the program is ready and while it ends.

--- a/node/src/core.rs
+++ b/node/src/core.rs
@@ -9,6 +9,7 @@
 use sablerun_settings::Tables;
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap, HashMap, VecDeque};
+use std::net::SocketAddr;
 use std::rc::Rc;
 
 #[cfg(test)]
@@ -124,6 +125,8 @@
     List(Source, sr::ListKind, Vec<Listed>),
     /// A call for the list failed or its watch broke.
     ListFailed,
+    /// The list is to be asked for at this address from now on.
+    RosterAt(SocketAddr),
     /// Time has passed: a timer may be due.
     Due,
 }
@@ -143,8 +146,10 @@
     GiveUp(AttemptId),
     /// An attempt has ended by itself: whatever a link holds of it can go.
     Over(AttemptId),
-    Subscribe,
-    Fetch,
+    /// Ask there for the list and its changes from now on.
+    Subscribe(SocketAddr),
+    /// Ask there for the whole list once.
+    Fetch(SocketAddr),
     Probe(String),
     Release(String),
 }
@@ -184,6 +189,8 @@
 pub struct Core<J> {
     balancer: sr::Balancer,
     tables: Tables,
+    /// Where the list is asked for.
+    roster: SocketAddr,
     /// Most requests held at once; more are refused unseen.
     most: usize,
     hold_off: sr::Span,
@@ -203,7 +210,7 @@
 }
 
 impl<J: Clone> Core<J> {
-    /// A dispatcher that starts now, holds `most` requests at once and was told `known` of its runners.
+    /// A dispatcher that starts now, asks `roster` for its runners and holds `most` requests at once.
     ///
     /// # Errors
     ///
@@ -211,6 +218,7 @@
     pub fn new(
         settings: sr::Settings,
         tables: Tables,
+        roster: SocketAddr,
         seed: u64,
         now: sr::Time,
         most: usize,
@@ -220,6 +228,7 @@
             hold_off: settings.max_hold_off.min(shortest.unwrap_or_default()),
             balancer: sr::Balancer::new(settings, seed, now)?,
             tables,
+            roster,
             most,
             next: 0,
             requests: HashMap::new(),
@@ -282,6 +291,13 @@
             }
             Input::List(source, kind, listed) => self.list(now, source, kind, listed),
             Input::ListFailed => self.tell(now, sr::Event::ListFailed),
+            Input::RosterAt(at) => {
+                // At once, and not when the module next asks: it waits for the old watch to fall silent.
+                if self.roster != at {
+                    self.roster = at;
+                    self.effects.push(Effect::Subscribe(at));
+                }
+            }
             Input::Due => {}
         }
         self.run_timers(now);
@@ -494,8 +510,8 @@
                 self.forget(id.0);
             }
             sr::Action::Timer(at, token) => self.set_timer(at, Timer::Module(token)),
-            sr::Action::Subscribe => self.effects.push(Effect::Subscribe),
-            sr::Action::Fetch => self.effects.push(Effect::Fetch),
+            sr::Action::Subscribe => self.effects.push(Effect::Subscribe(self.roster)),
+            sr::Action::Fetch => self.effects.push(Effect::Fetch(self.roster)),
             sr::Action::Probe(worker) => {
                 self.effects.push(Effect::Probe(self.tables.workers.name(worker.0).to_owned()));
             }
--- a/node/src/core/model.rs
+++ b/node/src/core/model.rs
@@ -33,6 +33,7 @@
         standing: sr::Standing,
     },
     ListFailed,
+    RosterAt(u8),
     Pass {
         ms: u64,
     },
@@ -56,6 +57,7 @@
         1 => (index(), 0..4usize).prop_map(|(of, runner)| Step::Stray { of, runner }),
         2 => (0..4usize, standing).prop_map(|(runner, standing)| Step::List { runner, standing }),
         1 => Just(Step::ListFailed),
+        1 => (1..4u8).prop_map(Step::RosterAt),
         4 => (1..400u64).prop_map(|ms| Step::Pass { ms }),
     ]
 }
@@ -87,6 +89,12 @@
     asked: Vec<Asked>,
     tried: Vec<Tried>,
     standing: [sr::Standing; 4],
+    roster: SocketAddr,
+    asked_for_list: usize,
+}
+
+fn roster(host: u8) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, host], 8500))
 }
 
 fn name(runner: usize) -> String {
@@ -127,9 +135,10 @@
         let (workers, zones, kinds, classes, tenants) = (names(), names(), names(), names(), names());
         let tables = Tables { workers, zones, kinds, classes, tenants, fields: Vec::new() };
         let now = sr::Time(1_000_000_000_000);
-        let core = Core::new(settings, tables, seed, now, 20).unwrap();
+        let core = Core::new(settings, tables, roster(1), seed, now, 20).unwrap();
         let standing = [sr::Standing::Ready; 4];
-        let mut world = World { core, now, asked: Vec::new(), tried: Vec::new(), standing };
+        let (asked, tried) = (Vec::new(), Vec::new());
+        let mut world = World { core, now, asked, tried, standing, roster: roster(1), asked_for_list: 0 };
         let all = (0..4).map(|runner| listed(runner, sr::Standing::Ready)).collect();
         world.input(Input::List(Source::Discovery, sr::ListKind::Saved, all), None);
         world
@@ -173,7 +182,11 @@
                     assert_eq!(self.tried[ended].id, attempt);
                     self.over(attempt, !outcome.never_ran());
                 }
-                Effect::Subscribe | Effect::Fetch | Effect::Probe(_) | Effect::Release(_) => {}
+                Effect::Subscribe(at) | Effect::Fetch(at) => {
+                    assert_eq!(at, self.roster, "the list is asked for elsewhere");
+                    self.asked_for_list += 1;
+                }
+                Effect::Probe(_) | Effect::Release(_) => {}
             }
         }
     }
@@ -276,6 +289,13 @@
                 self.input(Input::List(Source::Discovery, sr::ListKind::Delta, change), None);
             }
             Step::ListFailed => self.input(Input::ListFailed, None),
+            Step::RosterAt(host) => {
+                let (moved, before) = (self.roster != roster(host), self.asked_for_list);
+                self.roster = roster(host);
+                self.input(Input::RosterAt(self.roster), None);
+                // A timer that is due may ask too; but a move is never without a call at once.
+                assert!(!moved || self.asked_for_list > before, "a move that asks nobody");
+            }
             Step::Pass { ms } => self.pass(self.now + sr::Span(ms * 1_000_000)),
             Step::Leave(_) | Step::Start(_) | Step::End { .. } | Step::Stray { .. } => {}
         }
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -13,6 +13,7 @@
 use crate::runtime::{Clock, Runtime};
 use sablerun as sr;
 use sablerun_settings::Env;
+use serde_json::Value;
 use std::net::SocketAddr;
 use std::path::Path;
 use std::process::ExitCode;
@@ -42,7 +43,9 @@
     let env = env_logger::Env::default().default_filter_or("info");
     env_logger::Builder::from_env(env).format_timestamp_millis().init();
     let told = read_gateway().and_then(|gateway| Ok((read_config()?, gateway)));
-    match told.and_then(|(config, gateway)| actix_rt::System::new().block_on(run(config, gateway))) {
+    match told
+        .and_then(|((config, text), gateway)| actix_rt::System::new().block_on(run(config, text, gateway)))
+    {
         Ok(()) => ExitCode::SUCCESS,
         Err(message) => {
             log::error!("{message}");
@@ -61,15 +64,40 @@
     }
 }
 
-fn read_config() -> Result<Config, String> {
+/// What `$NODE_CONFIG` holds, and as it stands there.
+fn read_config() -> Result<(Config, Value), String> {
     let path = std::env::var("NODE_CONFIG").map_err(|_| "NODE_CONFIG is not set".to_owned())?;
     let text = std::fs::read_to_string(&path).map_err(|e| format!("NODE_CONFIG: {path}: {e}"))?;
     let mut json = serde_json::Deserializer::from_str(&text);
-    serde_path_to_error::deserialize(&mut json)
-        .map_err(|e| format!("NODE_CONFIG: {}: {}", e.path(), e.inner()))
+    let config: Config = serde_path_to_error::deserialize(&mut json)
+        .map_err(|e| format!("NODE_CONFIG: {}: {}", e.path(), e.inner()))?;
+    let text = serde_json::from_str(&text).map_err(|e| format!("NODE_CONFIG: {e}"))?;
+    Ok((config, text))
 }
 
-async fn run(config: Config, gateway: Option<Gateway>) -> Result<(), String> {
+/// Reads the configuration anew. Discovery may have moved; what else has changed waits for a start.
+/// A file that makes no sense, or is half written, changes nothing.
+fn reload(runtime: &Runtime, text: &mut Value) {
+    let read = read_config().and_then(|(config, text)| match config.settings.settle() {
+        Ok(_) => Ok((config, text)),
+        Err(e) => Err(format!("NODE_CONFIG: settings: {e}")),
+    });
+    match read {
+        Ok((config, new)) => {
+            log::info!("configuration read anew, discovery at {}", config.discovery);
+            for key in ["name", "listen", "limits", "settings"] {
+                if new[key] != text[key] {
+                    log::warn!("NODE_CONFIG: {key}: has changed, which takes effect at the next start");
+                }
+            }
+            *text = new;
+            runtime.feed(Input::RosterAt(config.discovery));
+        }
+        Err(e) => log::error!("configuration not read anew, the old one stays: {e}"),
+    }
+}
+
+async fn run(config: Config, mut text: Value, gateway: Option<Gateway>) -> Result<(), String> {
     let (settings, tables) = config.settings.settle().map_err(|e| format!("NODE_CONFIG: settings: {e}"))?;
     let seed = u64::from_str_radix(&config.seed, 16).map_err(|e| format!("NODE_CONFIG: seed: {e}"))?;
     let machine = &config.limits;
@@ -81,13 +109,13 @@
     let keyed = settings.classes.iter().map(|c| c.effect != sr::Effect::Safe).collect();
     let with_tenants = !settings.tenants.is_empty();
     let clock = Clock::new();
-    let core = Core::new(settings, tables, seed, clock.now(), limits.open)
+    let core = Core::new(settings, tables, config.discovery, seed, clock.now(), limits.open)
         .map_err(|e| format!("NODE_CONFIG: settings: {e}"))?;
     let runtime = Runtime::new(core, clock, limits);
 
     let runners = runners::Runners::new(&runtime);
     runtime.add_link(runners.clone());
-    let roster = discovery::Discovery::new(&runtime, &runners, config.discovery);
+    let roster = discovery::Discovery::new(&runtime, &runners);
     runtime.set_roster(roster.clone());
     let backlog = runtime.limits.backlog;
     let second = gateway.map(|gateway| {
@@ -97,6 +125,8 @@
     });
     let second = second.transpose().map_err(|e: String| format!("--gateway: {e}"))?;
     let mut terminate = signal(SignalKind::terminate()).map_err(|e| format!("SIGTERM: {e}"))?;
+    // From here on a SIGHUP no longer ends the program.
+    let mut hang_up = signal(SignalKind::hangup()).map_err(|e| format!("SIGHUP: {e}"))?;
     let mut interrupt = signal(SignalKind::interrupt()).map_err(|e| format!("SIGINT: {e}"))?;
     let listener =
         platform::listen(config.listen, backlog).map_err(|e| format!("listen: {}: {e}", config.listen))?;
@@ -123,17 +153,21 @@
         actix_rt::spawn(front.clone().look_after());
         (actix_rt::spawn(front.clone().serve(listener)), front)
     });
-    let mut hang_up = signal(SignalKind::hangup()).map_err(|e| format!("SIGHUP: {e}"))?;
+    let (held, again) = (runtime.clone(), second.as_ref().map(|(_, front)| front.clone()));
+    // Also while the program ends: what it has taken still goes to runners that the list allows.
+    actix_rt::spawn(async move {
+        while hang_up.recv().await.is_some() {
+            reload(&held, &mut text);
+            if let Some(front) = &again {
+                front.reload();
+            }
+        }
+    });
     let mut summary = tokio::time::interval(runtime.limits.summary);
     loop {
         tokio::select! {
             _ = terminate.recv() => break,
             _ = interrupt.recv() => break,
-            _ = hang_up.recv() => {
-                if let Some((_, front)) = &second {
-                    front.reload();
-                }
-            }
             _ = summary.tick() => log::info!("{}", runtime.summary()),
         }
     }
--- a/node/src/net/discovery.rs
+++ b/node/src/net/discovery.rs
@@ -1,7 +1,7 @@
 //! Discovery: the watch on the list of runners and single calls for the whole of it. It owns the
-//! version that the dispatcher holds and the one watch, turns hosts into the core's list, and tells
-//! the link where runners listen. It must never hold a change back, nor decide when to ask again:
-//! a watch that breaks or falls silent is reported, and the module asks.
+//! version that the dispatcher holds and the watch, turns hosts into the core's list, and tells the
+//! link where runners listen. It must never hold a change back, nor decide when or where to ask
+//! again: a watch that breaks or falls silent is reported, and the module asks.
 
 use crate::core::{Input, Listed, Source};
 use crate::net::runners::{Pool, Runners};
@@ -50,34 +50,45 @@
     runtime: Weak<Runtime>,
     runners: Rc<Runners>,
     client: Client,
-    at: SocketAddr,
     seq: Cell<u64>,
+    /// Where `seq` was told, the number of the watch that counts, and that watch.
+    at: Cell<Option<SocketAddr>>,
+    number: Cell<u64>,
     watch: RefCell<Option<AbortHandle>>,
+    /// The watch at the address before, until the new one tells something: what the old address still
+    /// tells binds too, and nothing may fall between the two.
+    before: RefCell<Option<AbortHandle>>,
     this: Weak<Discovery>,
 }
 
 impl Discovery {
-    pub fn new(runtime: &Rc<Runtime>, runners: &Rc<Runners>, at: SocketAddr) -> Rc<Discovery> {
+    pub fn new(runtime: &Rc<Runtime>, runners: &Rc<Runners>) -> Rc<Discovery> {
         let pool = Pool::new(&runtime.limits);
         Rc::new_cyclic(|this| Discovery {
             runtime: Rc::downgrade(runtime),
             runners: runners.clone(),
             client: pool.client(&runtime.limits),
-            at,
             seq: Cell::new(0),
+            at: Cell::new(None),
+            number: Cell::new(0),
             watch: RefCell::default(),
+            before: RefCell::default(),
             this: this.clone(),
         })
     }
 
     /// Takes a list or a change of it.
     pub fn take(&self, kind: sr::ListKind, hosts: Hosts) {
-        let Some(runtime) = self.runtime.upgrade() else { return };
         // Guards against a change that a newer list has overtaken; a whole list always holds.
         if kind == sr::ListKind::Delta && hosts.seq < self.seq.get() {
             return;
         }
         self.seq.set(hosts.seq);
+        self.list(kind, hosts);
+    }
+
+    fn list(&self, kind: sr::ListKind, hosts: Hosts) {
+        let Some(runtime) = self.runtime.upgrade() else { return };
         let mut listed = Vec::with_capacity(hosts.hosts.len());
         for host in hosts.hosts {
             let standing = match host.health.as_str() {
@@ -112,22 +123,26 @@
         runtime.feed(Input::List(Source::Discovery, kind, listed));
     }
 
-    fn take_line(&self, line: &[u8]) -> Result<(), String> {
+    fn take_line(&self, line: &[u8], counts: bool) -> Result<(), String> {
         if line.trim_ascii().is_empty() {
             return Ok(());
         }
         let hosts: Hosts = serde_json::from_slice(line).map_err(|e| format!("a line can't be read: {e}"))?;
         let kind = if hosts.whole { sr::ListKind::Full } else { sr::ListKind::Delta };
-        self.take(kind, hosts);
+        match counts {
+            true => self.take(kind, hosts),
+            // Its versions are another address's.
+            false => self.list(kind, hosts),
+        }
         Ok(())
     }
 
     /// Reads the watch until it ends; says why it did.
-    async fn follow(&self) -> Result<(), String> {
+    async fn follow(&self, at: SocketAddr, number: u64) -> Result<(), String> {
         let runtime = self.runtime.upgrade().ok_or("the program ends")?;
         let limits = &runtime.limits;
-        let url = format!("http://{}/discovery/hosts?stream=1&index={}", self.at, self.seq.get());
-        let request = self.client.get(url).address(self.at).no_decompress().send();
+        let url = format!("http://{}/discovery/hosts?stream=1&index={}", at, self.seq.get());
+        let request = self.client.get(url).address(at).no_decompress().send();
         let response = tokio::time::timeout(limits.list, request).await;
         let mut response = response.map_err(|_| "no answer")?.map_err(|e| e.to_string())?;
         if response.status() != StatusCode::OK {
@@ -140,7 +155,11 @@
             let Some(chunk) = chunk.map_err(|_| "silent")? else { return Err("ended".to_owned()) };
             lines.extend(&chunk.map_err(|e| e.to_string())?);
             while let Some(line) = lines.next() {
-                self.take_line(&line)?;
+                let counts = self.number.get() == number;
+                self.take_line(&line, counts)?;
+                if counts && let Some(before) = self.before.take() {
+                    before.abort();
+                }
             }
             if lines.unfinished() > limits.watch_line {
                 return Err("a line is too long".to_owned());
@@ -148,11 +167,11 @@
         }
     }
 
-    async fn whole(&self) -> Result<(), String> {
+    async fn whole(&self, at: SocketAddr) -> Result<(), String> {
         let runtime = self.runtime.upgrade().ok_or("the program ends")?;
-        let url = format!("http://{}/discovery/hosts", self.at);
+        let url = format!("http://{at}/discovery/hosts");
         let call = async {
-            let request = self.client.get(url).address(self.at).no_decompress();
+            let request = self.client.get(url).address(at).no_decompress();
             let mut response = request.send().await.map_err(|e| e.to_string())?;
             if response.status() != StatusCode::OK {
                 return Err(format!("answered {}", response.status()));
@@ -160,7 +179,7 @@
             response.body().limit(runtime.limits.watch_line).await.map_err(|e| e.to_string())
         };
         let body = tokio::time::timeout(runtime.limits.list, call).await.map_err(|_| "no answer")??;
-        self.take_line(&body)
+        self.take_line(&body, self.at.get() == Some(at))
     }
 
     fn failed(&self, what: &str, why: &str) {
@@ -172,22 +191,35 @@
 }
 
 impl Roster for Discovery {
-    fn subscribe(&self) {
+    fn subscribe(&self, at: SocketAddr) {
         let Some(this) = self.this.upgrade() else { return };
+        let moved = self.at.replace(Some(at)).is_some_and(|before| before != at);
+        if moved {
+            // Another address may count its versions otherwise: the whole list is asked for.
+            self.seq.set(0);
+        }
+        let number = self.number.get() + 1;
+        self.number.set(number);
         let task = actix_rt::spawn(async move {
-            if let Err(why) = this.follow().await {
-                this.failed("watch", &why);
+            if let Err(why) = this.follow(at, number).await {
+                if this.number.get() == number {
+                    this.failed("watch", &why);
+                } else {
+                    log::debug!("discovery: the watch before ended: {why}");
+                }
             }
         });
-        if let Some(before) = self.watch.borrow_mut().replace(task.abort_handle()) {
-            before.abort();
+        let last = self.watch.borrow_mut().replace(task.abort_handle());
+        let over = if moved { self.before.replace(last) } else { last };
+        if let Some(over) = over {
+            over.abort();
         }
     }
 
-    fn fetch(&self) {
+    fn fetch(&self, at: SocketAddr) {
         let Some(this) = self.this.upgrade() else { return };
         actix_rt::spawn(async move {
-            if let Err(why) = this.whole().await {
+            if let Err(why) = this.whole(at).await {
                 this.failed("call", &why);
             }
         });
--- a/node/src/net/faktory/model.rs
+++ b/node/src/net/faktory/model.rs
@@ -82,7 +82,8 @@
     let env = crate::limits::test_env();
     let limits = Limits::new(1024, 192, &env, true);
     let clock = Clock::new();
-    let core = Core::new(settings, tables, 1, clock.now(), limits.open).unwrap();
+    let core =
+        Core::new(settings, tables, ([127, 0, 0, 1], 8500).into(), 1, clock.now(), limits.open).unwrap();
     let runtime = Runtime::new(core, clock, limits);
     let file = "listen = \"127.0.0.1:0\"\nplaintext = true\nfetch_wait_ms = 1\n[[route]]\nclass = \"c\"\n";
     let gateway = toml::from_str(file).unwrap();
--- a/node/src/runtime.rs
+++ b/node/src/runtime.rs
@@ -9,6 +9,7 @@
 use sablerun as sr;
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, VecDeque};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use tokio::sync::{Notify, oneshot};
@@ -93,10 +94,10 @@
 
 /// The way to discovery.
 pub trait Roster {
-    /// Asks for changes from now on.
-    fn subscribe(&self);
-    /// Asks for the whole list once.
-    fn fetch(&self);
+    /// Asks this address for changes from now on.
+    fn subscribe(&self, at: SocketAddr);
+    /// Asks this address for the whole list once.
+    fn fetch(&self, at: SocketAddr);
 }
 
 /// The core and what surrounds it.
@@ -204,11 +205,11 @@
             },
             Effect::GiveUp(attempt) => self.links.borrow().iter().for_each(|link| link.give_up(attempt)),
             Effect::Over(attempt) => self.links.borrow().iter().for_each(|link| link.over(attempt)),
-            Effect::Subscribe | Effect::Fetch => {
+            Effect::Subscribe(at) | Effect::Fetch(at) => {
                 let roster = self.roster.borrow().clone();
                 match (roster, effect) {
-                    (Some(roster), Effect::Subscribe) => roster.subscribe(),
-                    (Some(roster), _) => roster.fetch(),
+                    (Some(roster), Effect::Subscribe(_)) => roster.subscribe(at),
+                    (Some(roster), _) => roster.fetch(at),
                     (None, _) => {}
                 }
             }
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -117,6 +117,8 @@
     pub at: SocketAddr,
     pub faktory: Option<SocketAddr>,
     pub log: Events,
+    /// The file of its configuration.
+    pub config: PathBuf,
 }
 
 impl Program {
@@ -145,7 +147,9 @@
     }
 
     pub fn start_with(config: Value, gateway: Option<&str>) -> Program {
-        let mut child = Program::command(&config, gateway).spawn().unwrap();
+        let mut command = Program::command(&config, gateway);
+        let config = command.get_envs().find(|(name, _)| *name == "NODE_CONFIG").unwrap().1.unwrap().into();
+        let mut child = command.spawn().unwrap();
         let (log, lines) = (Events::default(), BufReader::new(child.stderr.take().unwrap()));
         let told = log.clone();
         thread::spawn(move || lines.lines().map_while(Result::ok).for_each(|line| told.push(line)));
@@ -156,7 +160,7 @@
         let at = after(log.wait("ready on ", 1), "ready on ");
         let faktory = gateway.map(|_| after(log.wait("faktory on ", 1), "faktory on "));
         log.wait("list Full", 1);
-        Program { child, at, faktory, log }
+        Program { child, at, faktory, log, config }
     }
 
     pub fn signal(&self, name: &str) {
--- a/node/tests/platform.rs
+++ b/node/tests/platform.rs
@@ -228,6 +228,55 @@
     assert_eq!(old.seen.count("POST"), 0);
 }
 
+/// Discovery that moves under load: the new address is asked at once and for the whole list, what is
+/// known holds until it tells something, and the end of the old watch changes nothing any more.
+#[test]
+fn sighup_moves_the_watch_to_the_discovery_that_the_file_names() {
+    let (leaving, staying) = (Runner::start("s-0"), Runner::start("s-1"));
+    let hosts = [host("s-0", leaving.at, "hall-a", "active"), host("s-1", staying.at, "hall-a", "active")];
+    let old = Discovery::start(hosts[..1].to_vec());
+    let program = Program::start(&old, settings(), None);
+    leaving.call_back_to(&program);
+    staying.call_back_to(&program);
+    old.tell(&hosts[..1]);
+    program.log.wait("list Delta 2", 1);
+    // The first call there fails: it is made again there and not at the old address.
+    let new = Discovery::planned(hosts[..1].to_vec(), &["503"]);
+    std::fs::write(&program.config, Program::config(new.at, settings()).to_string()).unwrap();
+    program.signal("HUP");
+    program.log.wait("watch failed: answered 503", 1);
+    assert_eq!(call(program.at, &api("pick-route", &new_id(), "5000m", ""), "x").body, "by s-0");
+    assert!(new.calls.wait("stream=1", 2).contains("index=0"));
+    program.log.wait("list Full 1", 2);
+    old.break_watches();
+    new.tell(&[host("s-0", leaving.at, "hall-a", "leaving"), hosts[1].clone()]);
+    program.log.wait("list Delta 2", 2);
+    for _ in 0..10 {
+        assert_eq!(call(program.at, &api("pick-route", &new_id(), "5000m", ""), "x").body, "by s-1");
+    }
+    assert_eq!((old.calls.count("stream=1"), program.log.count("watch failed")), (1, 1));
+}
+
+/// A file that is half written, or makes no sense, leaves everything as it is and says so.
+#[test]
+fn sighup_with_a_file_of_no_use_changes_nothing() {
+    let (discovery, _runner, program) = one_runner();
+    let good = Program::config(([127, 0, 0, 1], 1).into(), settings());
+    let mut senseless = good.clone();
+    senseless["settings"]["services"][0]["repeat"] = json!("maybe");
+    let half = good.to_string()[..200].to_owned();
+    for (n, (text, key)) in
+        [(half, "EOF"), (String::new(), "EOF"), (senseless.to_string(), "repeat")].into_iter().enumerate()
+    {
+        std::fs::write(&program.config, text).unwrap();
+        program.signal("HUP");
+        assert!(program.log.wait("configuration not read anew", n + 1).contains(key));
+    }
+    assert_eq!(call(program.at, &api("pick-route", &new_id(), "5000m", ""), "x").body, "by s-0");
+    discovery.break_watches();
+    discovery.calls.wait("stream=1", 2);
+}
+
 /// The jobs of a client that sends one after another on one connection all get their answers there.
 #[test]
 fn a_connection_carries_one_request_after_another() {
