SIGTERM: keep accepting call-backs, serve longer, answer all before SIGKILL

Ruled out: the SIGHUP move (no failed watch in between). At fault: main.rs closed the listener 0.7 s after SIGTERM and the idle connections with it, runners' own among them, so no call-back came in any more and every job still running was lost sight of; and Limits::stop waited for the longest deadline (6 s) plus 1 s, while SIGKILL counts 3 s of it plus 0.7 s.

Now the listeners stay open to the end, connections that carry call-backs or nothing yet are left alone, clients are served as usual for three fifths of the time and sent elsewhere after that, and Input::StopAt bounds every deadline to 0.3 s before SIGKILL can come: what is unanswered then is answered, as refused where nothing was sent. The model found that Core::overdue let the module try again on the time-out it was told of while its request was being failed; the answer comes first now.

--- a/node/src/core.rs
+++ b/node/src/core.rs
@@ -127,6 +127,8 @@
     ListFailed,
     /// The list is to be asked for at this address from now on.
     RosterAt(SocketAddr),
+    /// The program ends then: whatever is unanswered by that time is answered.
+    StopAt(sr::Time),
     /// Time has passed: a timer may be due.
     Due,
 }
@@ -158,6 +160,7 @@
 enum Timer {
     Module(u64),
     Deadline(u32),
+    Stop,
 }
 
 struct Attempt {
@@ -200,6 +203,8 @@
     tickets: HashMap<Ticket, u32>,
     timers: BinaryHeap<Reverse<(sr::Time, u64, Timer)>>,
     timers_set: u64,
+    /// When the program ends, once it is told so.
+    stop: Option<sr::Time>,
     /// What each source last said of its runners.
     lists: BTreeMap<(Source, u32), sr::ListEntry>,
     /// Events for the module that its own actions brought about.
@@ -236,6 +241,7 @@
             tickets: HashMap::new(),
             timers: BinaryHeap::new(),
             timers_set: 0,
+            stop: None,
             lists: BTreeMap::new(),
             events: VecDeque::new(),
             actions: Vec::new(),
@@ -298,6 +304,10 @@
                     self.effects.push(Effect::Subscribe(at));
                 }
             }
+            Input::StopAt(at) => {
+                self.stop = Some(at);
+                self.set_timer(at, Timer::Stop);
+            }
             Input::Due => {}
         }
         self.run_timers(now);
@@ -319,6 +329,8 @@
             self.effects.push(Effect::Answer(ticket, Answer::Failed("a request with this id is under way")));
             return;
         }
+        // Nobody answers after the end.
+        let deadline = self.stop.map_or(deadline, |stop| deadline.min(stop));
         let number = self.next;
         self.next = self.next.wrapping_add(1);
         self.ids.insert(id.clone(), number);
@@ -453,31 +465,49 @@
             match timer {
                 Timer::Module(token) => self.tell(now, sr::Event::Timer(token)),
                 Timer::Deadline(request) => self.overdue(now, request),
+                Timer::Stop => {
+                    let mut open: Vec<u32> = self.requests.keys().copied().collect();
+                    open.sort_unstable();
+                    open.into_iter().for_each(|request| self.overdue(now, request));
+                }
             }
         }
     }
 
-    /// The client's deadline: what is still out has timed out, and whatever the module says, the
-    /// client hears now.
+    /// The client's deadline, or the program's end: whatever the module says, the client hears now, and
+    /// what is still out has timed out. The answer comes first: the module must not try again on a
+    /// time-out that it hears of here.
     fn overdue(&mut self, now: sr::Time, request: u32) {
+        if let Some(held) = self.requests.get(&request).filter(|r| !r.answered) {
+            // What was never sent can be tried again by any class.
+            let answer = match held.attempts.is_empty() {
+                true => Answer::Refused(self.hold_off),
+                false => Answer::Failed("not done by the deadline"),
+            };
+            self.answer(request, answer);
+            self.tell(now, sr::Event::Closed(sr::RequestId(request)));
+        }
         let Some(held) = self.requests.get_mut(&request) else { return };
-        let live = held.attempts.iter_mut().enumerate().filter(|(_, a)| a.live);
-        let out: Vec<u32> = live.map(|(n, _)| n as u32).collect();
-        for number in out {
-            let attempt = AttemptId { request, number };
-            self.effects.push(Effect::GiveUp(attempt));
-            self.ended(now, attempt, Ending::bare(sr::Outcome::Timeout));
+        let mut out = Vec::new();
+        for (number, attempt) in held.attempts.iter_mut().enumerate().filter(|(_, a)| a.live) {
+            attempt.live = false;
+            out.push(number as u32);
         }
-        if self.requests.get(&request).is_some_and(|r| !r.answered) {
-            self.answer(request, Answer::Failed("not done by the deadline"));
-            self.tell(now, sr::Event::Closed(sr::RequestId(request)));
+        for number in out {
+            self.effects.push(Effect::GiveUp(AttemptId { request, number }));
+            self.end_for_module(request, number, sr::Outcome::Timeout);
         }
+        self.tell_events(now);
         self.forget(request);
     }
 
     /// Tells the module, carries out what it asks for, and tells it what came of that.
     fn tell(&mut self, now: sr::Time, event: sr::Event) {
         self.events.push_back(event);
+        self.tell_events(now);
+    }
+
+    fn tell_events(&mut self, now: sr::Time) {
         while let Some(event) = self.events.pop_front() {
             let mut actions = std::mem::take(&mut self.actions);
             self.balancer.handle(now, event, &mut actions);
--- a/node/src/core/model.rs
+++ b/node/src/core/model.rs
@@ -34,6 +34,9 @@
     },
     ListFailed,
     RosterAt(u8),
+    StopIn {
+        ms: u64,
+    },
     Pass {
         ms: u64,
     },
@@ -58,6 +61,7 @@
         2 => (0..4usize, standing).prop_map(|(runner, standing)| Step::List { runner, standing }),
         1 => Just(Step::ListFailed),
         1 => (1..4u8).prop_map(Step::RosterAt),
+        1 => (1..3000u64).prop_map(|ms| Step::StopIn { ms }),
         4 => (1..400u64).prop_map(|ms| Step::Pass { ms }),
     ]
 }
@@ -91,6 +95,7 @@
     standing: [sr::Standing; 4],
     roster: SocketAddr,
     asked_for_list: usize,
+    stop: Option<sr::Time>,
 }
 
 fn roster(host: u8) -> SocketAddr {
@@ -138,7 +143,8 @@
         let core = Core::new(settings, tables, roster(1), seed, now, 20).unwrap();
         let standing = [sr::Standing::Ready; 4];
         let (asked, tried) = (Vec::new(), Vec::new());
-        let mut world = World { core, now, asked, tried, standing, roster: roster(1), asked_for_list: 0 };
+        let (roster, asked_for_list, stop) = (roster(1), 0, None);
+        let mut world = World { core, now, asked, tried, standing, roster, asked_for_list, stop };
         let all = (0..4).map(|runner| listed(runner, sr::Standing::Ready)).collect();
         world.input(Input::List(Source::Discovery, sr::ListKind::Saved, all), None);
         world
@@ -230,7 +236,8 @@
             Step::Arrive { class, patience_ms } => {
                 let number = self.asked.len();
                 let deadline = self.now + sr::Span(patience_ms * 1_000_000);
-                self.asked.push(Asked { class, deadline, client: Client::Waits });
+                let owed = self.stop.map_or(deadline, |stop| deadline.min(stop.max(self.now)));
+                self.asked.push(Asked { class, deadline: owed, client: Client::Waits });
                 let arrival = Arrival {
                     ticket: Ticket(number as u64),
                     id: format!("r{number}").into(),
@@ -296,8 +303,15 @@
                 // A timer that is due may ask too; but a move is never without a call at once.
                 assert!(!moved || self.asked_for_list > before, "a move that asks nobody");
             }
+            Step::StopIn { ms } if self.stop.is_none() => {
+                let stop = self.now + sr::Span(ms * 1_000_000);
+                self.stop = Some(stop);
+                self.asked.iter_mut().for_each(|asked| asked.deadline = asked.deadline.min(stop));
+                self.input(Input::StopAt(stop), None);
+            }
             Step::Pass { ms } => self.pass(self.now + sr::Span(ms * 1_000_000)),
-            Step::Leave(_) | Step::Start(_) | Step::End { .. } | Step::Stray { .. } => {}
+            Step::StopIn { .. } | Step::Leave(_) | Step::Start(_) | Step::End { .. } | Step::Stray { .. } => {
+            }
         }
     }
 }
--- a/node/src/limits.rs
+++ b/node/src/limits.rs
@@ -58,7 +58,7 @@
     pub watch_line: usize,
     /// Time for which the program goes on as usual after SIGTERM.
     pub spell: Duration,
-    /// Time after SIGTERM by which it ends even if something is unanswered.
+    /// Time after SIGTERM at which whatever is unanswered is answered, and the program ends.
     pub stop: Duration,
 }
 
@@ -74,7 +74,10 @@
         // A quarter of the memory may be bodies.
         let fits = memory_mb.max(16) * 1024 * 1024 / 4 / body;
         let told = env.limits.max_open.map_or(usize::MAX, |most| usize::try_from(most).unwrap_or(usize::MAX));
+        // SIGKILL comes 0.7 s after the longest deadline, of which 3 s count at most. What it finds
+        // unanswered is lost, so the end keeps a distance from it that a busy machine needs.
         let longest = env.services.iter().map(|class| class.deadline).max().unwrap_or(0);
+        let stop = Duration::from_nanos(longest).min(Duration::from_secs(3)) + Duration::from_millis(400);
         Limits {
             body,
             open: fits.min(told).max(1),
@@ -101,8 +104,10 @@
             list: Duration::from_secs(3),
             watch_silence: Duration::from_millis(3500),
             watch_line: 4 * 1024 * 1024,
-            spell: Duration::from_millis(700),
-            stop: Duration::from_nanos(longest) + Duration::from_millis(1000),
+            // Clients use the connections they have while those stay open; the rest of the time is for
+            // the last jobs to be done.
+            spell: stop * 3 / 5,
+            stop,
         }
     }
 }
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -140,7 +140,7 @@
     actix_rt::spawn(async move { timer.keep_time().await });
     let bound = listener.local_addr().ok();
     let front = platform::Front::new(&runtime, keyed, with_tenants);
-    let accepting = actix_rt::spawn(front.clone().serve(listener));
+    actix_rt::spawn(front.clone().serve(listener));
     let listen = bound.unwrap_or(config.listen);
     log::info!("{} ready on {listen}, discovery at {}", config.name, config.discovery);
 
@@ -151,14 +151,15 @@
         );
         runtime.add_link(front.clone());
         actix_rt::spawn(front.clone().look_after());
-        (actix_rt::spawn(front.clone().serve(listener)), front)
+        actix_rt::spawn(front.clone().serve(listener));
+        front
     });
-    let (held, again) = (runtime.clone(), second.as_ref().map(|(_, front)| front.clone()));
+    let held = runtime.clone();
     // Also while the program ends: what it has taken still goes to runners that the list allows.
     actix_rt::spawn(async move {
         while hang_up.recv().await.is_some() {
             reload(&held, &mut text);
-            if let Some(front) = &again {
+            if let Some(front) = &second {
                 front.reload();
             }
         }
@@ -171,15 +172,16 @@
             _ = summary.tick() => log::info!("{}", runtime.summary()),
         }
     }
+    // Clients and call-backs find everything as usual for a spell. After it clients are sent elsewhere,
+    // but runners' call-backs still come in: the listeners stay open to the end.
     log::info!("told to end: {}", runtime.summary());
+    let (spell, stop) = (runtime.limits.spell, runtime.limits.stop);
+    runtime.feed(Input::StopAt(runtime.clock.now() + sr::Span(stop.as_nanos() as u64)));
+    tokio::time::sleep(spell).await;
+    log::info!("lets clients go: {}", runtime.summary());
     runtime.stop();
-    tokio::time::sleep(runtime.limits.spell).await;
-    accepting.abort();
-    if let Some((accepting, _)) = &second {
-        accepting.abort();
-    }
     front.close_idle();
-    runtime.answered(runtime.limits.stop - runtime.limits.spell).await;
+    runtime.answered(stop - spell + runtime.limits.flush).await;
     // Whatever was answered last is still on its way out.
     front.drained(runtime.limits.flush).await;
     log::info!("ends: {}", runtime.summary());
--- a/node/src/net/platform.rs
+++ b/node/src/net/platform.rs
@@ -31,10 +31,20 @@
     socket.listen(backlog)
 }
 
+/// What a connection has carried.
+#[derive(Clone, Copy, PartialEq)]
+enum Carried {
+    Nothing,
+    Requests,
+    CallBacks,
+}
+
 /// One accepted connection.
 struct Connection {
     /// Requests read from it that have no whole answer yet: one at the most.
     busy: Cell<u32>,
+    /// What came over it so far.
+    carried: Cell<Carried>,
     /// When it was opened or its last answer was made.
     touched: Cell<Instant>,
 }
@@ -99,7 +109,11 @@
                     continue;
                 }
             };
-            let connection = Rc::new(Connection { busy: Cell::new(0), touched: Cell::new(Instant::now()) });
+            let connection = Rc::new(Connection {
+                busy: Cell::new(0),
+                carried: Cell::new(Carried::Nothing),
+                touched: Cell::new(Instant::now()),
+            });
             *self.opening.borrow_mut() = Some(connection.clone());
             let handling = service.call((stream, Some(peer)));
             let number = self.next.get();
@@ -126,10 +140,11 @@
         }
     }
 
-    /// Closes the connections on which no request is under way.
+    /// Closes clients' connections on which no request is under way. Guards against closing one that
+    /// carries call-backs, which the jobs under way still need, or one whose first request is on its way.
     pub fn close_idle(&self) {
         for (connection, task) in self.connections.borrow().values() {
-            if connection.busy.get() == 0 {
+            if connection.busy.get() == 0 && connection.carried.get() == Carried::Requests {
                 task.abort();
             }
         }
@@ -150,6 +165,8 @@
         let connection = request.conn_data::<Rc<Connection>>().cloned();
         if let Some(connection) = &connection {
             connection.busy.set(connection.busy.get() + 1);
+            let runners = request.path() == "/v1/job-events";
+            connection.carried.set(if runners { Carried::CallBacks } else { Carried::Requests });
         }
         let reply = match (request.path(), request.method()) {
             ("/api", &Method::POST) => self.job(arrived, &mut request).await,
@@ -169,7 +186,8 @@
         }
         // Near the limit connections are not kept, so that those who wait for one get their turn.
         let crowded = self.connections.borrow().len() * 10 >= self.runtime.limits.clients * 9;
-        if reply.close || crowded || self.runtime.stopping() {
+        let to_client = request.path() != "/v1/job-events";
+        if reply.close || crowded || to_client && self.runtime.stopping() {
             response.force_close();
         }
         Ok(response.message_body(reply.body).unwrap_or_else(|_| {
--- a/node/tests/platform.rs
+++ b/node/tests/platform.rs
@@ -296,17 +296,45 @@
     let id = new_id();
     let taken = open(&program, "short-pick", &id, "5000m", "hang");
     runner.seen.wait("POST hang", 1);
+    tell(&program, &id, "started", "");
     program.signal("TERM");
     program.log.wait("told to end", 1);
     let late = call(program.at, &api("short-pick", &new_id(), "5000m", ""), "serve");
     assert_eq!(late.status(), 200);
-    assert_eq!(late.headers["connection"], "close");
-    let body = json!({"id": id, "from": "s-0", "state": "done", "result": "at last"}).to_string();
-    call(program.at, "POST /v1/job-events HTTP/1.1", &body);
+    assert_eq!(late.headers.get("connection"), None);
+    program.log.wait("lets clients go", 1);
+    let last = call(program.at, &api("short-pick", &new_id(), "5000m", ""), "serve");
+    assert_eq!((last.status(), last.headers["connection"].as_str()), (200, "close"));
+    tell(&program, &id, "done", "at last");
     assert_eq!(answer(&taken).unwrap().body, "at last");
     assert!(program.child.wait().unwrap().success());
 }
 
+/// The runner s-0 tells the program something of a job.
+fn tell(program: &Program, id: &str, state: &str, result: &str) {
+    let body = json!({"id": id, "from": "s-0", "state": state, "result": result}).to_string();
+    assert_eq!(call(program.at, "POST /v1/job-events HTTP/1.1", &body).status(), 200);
+}
+
+/// SIGKILL does not wait for the longest deadline: what is unanswered shortly before it is answered.
+#[test]
+fn after_sigterm_a_job_that_hangs_is_answered_before_the_program_ends() {
+    let (_discovery, runner, mut program) = one_runner();
+    let ids = [new_id(), new_id()];
+    let early = open(&program, "short-pick", &ids[0], "600000m", "hang");
+    runner.seen.wait(&format!("POST hang {}", ids[0]), 1);
+    tell(&program, &ids[0], "started", "");
+    program.signal("TERM");
+    program.log.wait("told to end", 1);
+    let late = open(&program, "short-pick", &ids[1], "600000m", "hang");
+    runner.seen.wait(&format!("POST hang {}", ids[1]), 1);
+    tell(&program, &ids[1], "started", "");
+    // The module knew the late one's end and gave it up by itself; the early one is the core's to answer.
+    assert_eq!((answer(&early).unwrap().status(), answer(&late).unwrap().status()), (502, 503));
+    assert!(program.child.wait().unwrap().success());
+    assert!(program.log.wait("ends: ", 1).ends_with("open 0"));
+}
+
 #[test]
 fn bad_configuration_ends_it_with_one_line_that_names_the_key() {
     let discovery = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
