Answer and close bad clients within 3 s, and let silent connections go first

Checked, with raw sockets: actix-http 3.20 turns down both framing headers, repeated, signed and huge lengths, bad chunks; a second head on a connection is waited for without end; an answer with bytes unread behind it is followed by a reset. At fault: limits.rs (head and body 10 s each), close_one (anything idle for 1 s, oldest first), `crowded` (silent connections made it close clients' own), and runners.rs (400 taken for the runner's error).

Now the accepted stream bounds every head in size and time, half-closes and reads on for a second; 400s close; where there is no room the closing go first, then the silent, then rested clients, then runners. Input::Unusable fails a request that a runner can't use and blames nobody. Faktory frames have a time limit too, and its last word is read on for. Each new test fails or hangs without this.

--- a/node/src/core.rs
+++ b/node/src/core.rs
@@ -117,6 +117,8 @@
     },
     /// A link saw an attempt end.
     Ended(AttemptId, Ending),
+    /// A runner can't use the request of an attempt.
+    Unusable(AttemptId),
     Probed {
         runner: String,
         ok: bool,
@@ -290,6 +292,7 @@
                 }
             }
             Input::Ended(attempt, ending) => self.ended(now, attempt, ending),
+            Input::Unusable(attempt) => self.unusable(now, attempt),
             Input::Probed { runner, ok, report } => {
                 if let Some(runner) = self.tables.workers.get(&runner) {
                     self.tell(now, sr::Event::Probed(sr::WorkerId(runner), ok, report));
@@ -389,6 +392,20 @@
         self.forget(attempt.request);
     }
 
+    /// The request itself is at fault: no other runner could use it either, and none is to blame. Guards
+    /// against bad clients that spoil what the module thinks of a runner.
+    fn unusable(&mut self, now: sr::Time, attempt: AttemptId) {
+        let request = self.requests.get_mut(&attempt.request);
+        let out = request.and_then(|r| r.attempts.get_mut(attempt.number as usize));
+        let Some(out) = out.filter(|a| a.live) else { return };
+        out.live = false;
+        self.effects.push(Effect::Over(attempt));
+        self.answer(attempt.request, Answer::Failed("the runner can't use the request"));
+        self.end_for_module(attempt.request, attempt.number, sr::Outcome::Moot);
+        self.tell_events(now);
+        self.forget(attempt.request);
+    }
+
     /// Gives the final answer, unless there has been one.
     fn answer(&mut self, request: u32, answer: Answer) {
         let Some(held) = self.requests.get(&request).filter(|r| !r.answered) else { return };
--- a/node/src/core/model.rs
+++ b/node/src/core/model.rs
@@ -23,6 +23,7 @@
         told: bool,
         outcome: sr::Outcome,
     },
+    Unusable(prop::sample::Index),
     /// A word of a runner that may not hold the job at all.
     Stray {
         of: prop::sample::Index,
@@ -57,6 +58,7 @@
         1 => index().prop_map(Step::Leave),
         3 => index().prop_map(Step::Start),
         6 => (index(), any::<bool>(), outcome).prop_map(|(of, told, outcome)| Step::End { of, told, outcome }),
+        1 => index().prop_map(Step::Unusable),
         1 => (index(), 0..4usize).prop_map(|(of, runner)| Step::Stray { of, runner }),
         2 => (0..4usize, standing).prop_map(|(runner, standing)| Step::List { runner, standing }),
         1 => Just(Step::ListFailed),
@@ -281,6 +283,16 @@
                 };
                 self.input(input, ends);
             }
+            Step::Unusable(of) if !self.tried.is_empty() => {
+                let number = of.index(self.tried.len());
+                let (ticket, id, over) =
+                    (self.tried[number].ticket, self.tried[number].id, self.tried[number].over);
+                let ends = over.is_none().then_some((number, sr::Outcome::Error));
+                self.input(Input::Unusable(id), ends);
+                if over.is_none() {
+                    assert_ne!(self.asked[ticket].client, Client::Waits, "tried on what nobody can use");
+                }
+            }
             Step::Stray { of, runner } if !self.asked.is_empty() => {
                 let ticket = of.index(self.asked.len());
                 let holds = |t: &Tried| (t.ticket, t.runner, t.over) == (ticket, runner, None);
@@ -310,8 +322,12 @@
                 self.input(Input::StopAt(stop), None);
             }
             Step::Pass { ms } => self.pass(self.now + sr::Span(ms * 1_000_000)),
-            Step::StopIn { .. } | Step::Leave(_) | Step::Start(_) | Step::End { .. } | Step::Stray { .. } => {
-            }
+            Step::Unusable(_)
+            | Step::StopIn { .. }
+            | Step::Leave(_)
+            | Step::Start(_)
+            | Step::End { .. }
+            | Step::Stray { .. } => {}
         }
     }
 }
--- a/node/src/limits.rs
+++ b/node/src/limits.rs
@@ -24,10 +24,16 @@
     pub backlog: u32,
     /// Wait before a listener that ran out of descriptors tries again.
     pub accept_pause: Duration,
-    /// Time for a client to write a request's head.
+    /// Longest head of a message, in bytes.
+    pub head_bytes: usize,
+    /// Time for a client to write a request's head, from its connection or the head's first byte on.
     pub head: Duration,
     /// Time for a client to write a request's body.
     pub body_wait: Duration,
+    /// Time for which a closing connection is read on, so that its last answer arrives.
+    pub linger: Duration,
+    /// Time without a byte after which a new connection may be closed to make room.
+    pub silent: Duration,
     /// Time for which a client's idle connection stays open.
     pub keep_alive: Duration,
     /// Time for a connection to a runner to come up.
@@ -94,8 +100,13 @@
             summary: Duration::from_secs(10),
             flush: Duration::from_millis(100),
             accept_pause: Duration::from_millis(20),
-            head: Duration::from_secs(10),
-            body_wait: Duration::from_secs(10),
+            head_bytes: 16 * 1024,
+            // Together under 3 s, by which whoever sends half a request is owed an error.
+            head: Duration::from_millis(1400),
+            body_wait: Duration::from_millis(1300),
+            linger: Duration::from_secs(1),
+            // Clients connect when they have something to send; on a busy machine that may take a while.
+            silent: Duration::from_millis(250),
             keep_alive: Duration::from_secs(60),
             connect: Duration::from_nanos(env.limits.connect_timeout.unwrap_or(250_000_000)),
             idle: idle * 7 / 10,
--- a/node/src/net/faktory.rs
+++ b/node/src/net/faktory.rs
@@ -6,6 +6,7 @@
 //! went quiet; what a worker says of a job already settled changes nothing.
 
 use crate::core::{Answer, Arrival, AttemptId, Ending, Input, Listed, Source};
+use crate::limits::Limits;
 use crate::net::runners::result_bytes;
 use crate::net::spiffe::{self, Identities, SpiffeId};
 use crate::runtime::{Here, Job, Link, Runtime};
@@ -451,7 +452,8 @@
     async fn converse<S: AsyncRead + AsyncWrite + Unpin>(self: Rc<Self>, stream: S, peer: Peer) {
         self.numbers.set(self.numbers.get() + 1);
         let number = self.numbers.get();
-        let mut wire = Wire { stream, buffer: BytesMut::new(), most: self.runtime.limits.frame };
+        let Limits { frame: most, body_wait: pace, .. } = self.runtime.limits;
+        let mut wire = Wire { stream, buffer: BytesMut::new(), most, pace };
         let mut session = Session { front: self.clone(), number, wid: None };
         let ended = self.hello(&mut wire, &peer, &mut session).await;
         let ended = match ended {
@@ -464,6 +466,8 @@
             let last = format!("-ERR {word}\r\n");
             let _ = tokio::time::timeout(self.runtime.limits.head, wire.say(&last)).await;
             log::info!("faktory: connection of {} closed: {word}", peer.name);
+            // Guards against a reset by what is unread, which may destroy the last word on its way.
+            let _ = tokio::time::timeout(self.runtime.limits.linger, wire.read_on()).await;
         }
     }
 
@@ -1037,6 +1041,8 @@
     stream: S,
     buffer: BytesMut,
     most: usize,
+    /// Time for a frame, from its first byte on.
+    pace: Duration,
 }
 
 impl<S: AsyncRead + AsyncWrite + Unpin> Wire<S> {
@@ -1051,7 +1057,27 @@
         }
     }
 
+    /// The next frame. A peer may rest between two, but not in the midst of one.
     async fn line(&mut self) -> Result<String, End> {
+        if self.buffer.is_empty() {
+            self.fill().await?;
+        }
+        let late = End::Say("MALFORMED a frame is too slow".to_owned());
+        tokio::time::timeout(self.pace, self.rest_of_line()).await.unwrap_or(Err(late))
+    }
+
+    /// Ends the writing and reads on to the peer's end.
+    async fn read_on(&mut self) -> io::Result<()> {
+        self.stream.shutdown().await?;
+        loop {
+            self.buffer.clear();
+            if self.stream.read_buf(&mut self.buffer).await? == 0 {
+                return Ok(());
+            }
+        }
+    }
+
+    async fn rest_of_line(&mut self) -> Result<String, End> {
         let mut searched = 0;
         loop {
             if let Some(at) = self.buffer[searched..].iter().position(|&b| b == b'\n') {
--- a/node/src/net/platform.rs
+++ b/node/src/net/platform.rs
@@ -1,11 +1,13 @@
 //! The platform's front: clients' requests, runners' call-backs and the ready check, all on the one
 //! address that the dispatcher is given. It owns the listener and the connections accepted there,
-//! checks what clients write and words the answers. It must never give an answer of its own to a
-//! request it has handed to the core, nor keep one back.
+//! checks what clients write, how much and how fast, and words the answers. It must never give an
+//! answer of its own to a request it has handed to the core, nor keep one back.
 
 use crate::core::{Answer, Arrival, Ending, Input};
+use crate::limits::Limits;
 use crate::net::runners::{load_object, result_bytes};
 use crate::runtime::{Here, Job, Runtime};
+use actix_codec::{AsyncRead, AsyncWrite, ReadBuf};
 use actix_http::header::{self, HeaderMap, HeaderName};
 use actix_http::{HttpMessage, HttpService, KeepAlive, Method, Request, Response, StatusCode};
 use actix_service::{Service, ServiceFactory, fn_service};
@@ -15,12 +17,17 @@
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::convert::Infallible;
+use std::future::Future;
+use std::io;
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::rc::Rc;
+use std::task::{Context, Poll};
 use std::time::{Duration, Instant};
-use tokio::net::{TcpListener, TcpSocket};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::Notify;
 use tokio::task::AbortHandle;
+use tokio::time::Sleep;
 
 /// Binds the dispatcher's address.
 pub fn listen(at: SocketAddr, backlog: u32) -> std::io::Result<TcpListener> {
@@ -45,8 +52,29 @@
     busy: Cell<u32>,
     /// What came over it so far.
     carried: Cell<Carried>,
-    /// When it was opened or its last answer was made.
+    /// When it was opened, last read from or last answered.
     touched: Cell<Instant>,
+    /// The head that it is in, or waits for.
+    scan: Cell<Scan>,
+    /// Nothing more is answered on it.
+    closing: Cell<bool>,
+}
+
+impl Connection {
+    /// Who goes first, and among those the one that has rested the longest, where there is no room.
+    /// Guards against bad clients that keep others out by silence; could do harm where a usual client's
+    /// first request takes longer than `silent`, so nobody is closed sooner, and a runner's last.
+    fn rank(&self, limits: &Limits) -> Option<(u8, Instant)> {
+        let (touched, rested) = (self.touched.get(), self.touched.get().elapsed());
+        let (rank, least) = match self.carried.get() {
+            _ if self.busy.get() > 0 => return None,
+            _ if self.closing.get() => (0, Duration::ZERO),
+            Carried::Nothing => (1, limits.silent),
+            Carried::Requests => (2, limits.sweep),
+            Carried::CallBacks => (3, limits.sweep),
+        };
+        (rested > least).then_some((rank, touched))
+    }
 }
 
 /// The front.
@@ -58,8 +86,6 @@
     connections: RefCell<HashMap<u64, (Rc<Connection>, AbortHandle)>>,
     next: Cell<u64>,
     closed: Notify,
-    /// Connection that is being set up, for the callback that gives its requests a way to find it.
-    opening: RefCell<Option<Rc<Connection>>>,
 }
 
 impl Front {
@@ -71,34 +97,30 @@
             connections: RefCell::default(),
             next: Cell::new(0),
             closed: Notify::new(),
-            opening: RefCell::default(),
         })
     }
 
     /// Accepts connections; never ends.
     pub async fn serve(self: Rc<Self>, listener: TcpListener) {
         let limits = &self.runtime.limits;
-        let (front, opener) = (self.clone(), self.clone());
+        let front = self.clone();
         let service = HttpService::build()
             .keep_alive(KeepAlive::Timeout(limits.keep_alive))
-            .client_request_timeout(limits.head)
-            .tcp_nodelay(true)
+            // Only a first head's; the stream looks after every head.
+            .client_request_timeout(Duration::ZERO)
             // A client that closes its connection while it waits has gone away.
             .h1_allow_half_closed(false)
-            .on_connect_ext(move |_: &tokio::net::TcpStream, extensions| {
-                if let Some(connection) = opener.opening.borrow_mut().take() {
-                    extensions.insert(connection);
-                }
+            .on_connect_ext(|stream: &Guarded, extensions| {
+                extensions.insert(stream.connection.clone());
             })
             .h1(fn_service(move |request| front.clone().answer(request)))
             .new_service(())
             .await;
         let Ok(service) = service else { return };
         loop {
-            // At the limit the rest waits in the listener's queue. Guards against idle connections that
-            // keep clients and call-backs out: the one that has been idle the longest is closed.
+            // At the limit the rest waits in the listener's queue, unless somebody can be closed.
             while self.connections.borrow().len() >= limits.clients {
-                self.close_one(limits.sweep);
+                self.close_one();
                 let _ = tokio::time::timeout(limits.accept_pause, self.closed.notified()).await;
             }
             let (stream, peer) = match listener.accept().await {
@@ -113,8 +135,11 @@
                 busy: Cell::new(0),
                 carried: Cell::new(Carried::Nothing),
                 touched: Cell::new(Instant::now()),
+                scan: Cell::default(),
+                closing: Cell::new(false),
             });
-            *self.opening.borrow_mut() = Some(connection.clone());
+            let _ = stream.set_nodelay(true);
+            let stream = Guarded::new(stream, connection.clone(), limits);
             let handling = service.call((stream, Some(peer)));
             let number = self.next.get();
             self.next.set(number + 1);
@@ -130,12 +155,11 @@
         }
     }
 
-    /// Closes the connection that has been idle the longest, if for so long.
-    fn close_one(&self, idle: Duration) {
+    /// Closes the connection that can best be spared, if there is one.
+    fn close_one(&self) {
         let connections = self.connections.borrow();
-        let resting =
-            connections.values().filter(|(c, _)| c.busy.get() == 0 && c.touched.get().elapsed() > idle);
-        if let Some((_, task)) = resting.min_by_key(|(c, _)| c.touched.get()) {
+        let spare = connections.values().filter_map(|(c, task)| Some((c.rank(&self.runtime.limits)?, task)));
+        if let Some((_, task)) = spare.min_by_key(|(rank, _)| *rank) {
             task.abort();
         }
     }
@@ -179,13 +203,17 @@
         if let Some(connection) = &connection {
             connection.busy.set(connection.busy.get() - 1);
             connection.touched.set(Instant::now());
+            connection.scan.set(Scan::default());
         }
         let mut response = Response::build(reply.status);
         if let Some((name, value)) = reply.header {
             response.insert_header((name, value));
         }
-        // Near the limit connections are not kept, so that those who wait for one get their turn.
-        let crowded = self.connections.borrow().len() * 10 >= self.runtime.limits.clients * 9;
+        // Near the limit connections are not kept, so that those who wait for one get their turn. Silent
+        // ones don't count: they are closed for those who wait, and must not cost clients theirs.
+        let used = |(c, _): &&(Rc<Connection>, AbortHandle)| c.carried.get() != Carried::Nothing;
+        let crowded =
+            self.connections.borrow().values().filter(used).count() * 10 >= self.runtime.limits.clients * 9;
         let to_client = request.path() != "/v1/job-events";
         if reply.close || crowded || to_client && self.runtime.stopping() {
             response.force_close();
@@ -371,6 +399,140 @@
     }
 }
 
+/// How far into a head the bytes read so far go.
+#[derive(Clone, Copy, Default)]
+struct Scan {
+    bytes: usize,
+    /// Bytes of the line that is not ended yet.
+    line: usize,
+    /// A line that is not empty has been read: an empty one ends the head.
+    begun: bool,
+    done: bool,
+}
+
+impl Scan {
+    fn take(&mut self, read: &[u8]) {
+        for &byte in read {
+            if self.done {
+                return;
+            }
+            self.bytes += 1;
+            match byte {
+                b'\n' => {
+                    self.done = self.begun && self.line == 0;
+                    self.line = 0;
+                }
+                b'\r' => {}
+                _ => (self.begun, self.line) = (true, self.line + 1),
+            }
+        }
+    }
+}
+
+/// An accepted stream that keeps to the limits, whatever is sent on it. Guards against what actix-http
+/// leaves open: a first head may grow to 128 KiB and a later one take for ever, and closing with bytes
+/// unread resets the connection, which may destroy the answer on its way.
+struct Guarded {
+    stream: TcpStream,
+    connection: Rc<Connection>,
+    head_bytes: usize,
+    head: Duration,
+    linger: Duration,
+    /// While a head is awaited: until when; while it closes: how long it is read on.
+    timer: Option<Pin<Box<Sleep>>>,
+    shut: bool,
+}
+
+impl Guarded {
+    fn new(stream: TcpStream, connection: Rc<Connection>, limits: &Limits) -> Guarded {
+        let Limits { head_bytes, head, linger, .. } = *limits;
+        Guarded { stream, connection, head_bytes, head, linger, timer: None, shut: false }
+    }
+
+    /// Answers in place of actix-http, which waits for the end of a head, and ends the reading.
+    fn cut(&mut self, status: &str) -> Poll<io::Result<()>> {
+        let answer = format!("HTTP/1.1 {status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n");
+        // A peer whose window is full of answers it does not read can do without this one.
+        let _ = self.stream.try_write(answer.as_bytes());
+        self.connection.closing.set(true);
+        Poll::Ready(Ok(()))
+    }
+
+    /// Whether the time since the timer was last set is over.
+    fn over(&mut self, after: Duration, cx: &mut Context<'_>) -> bool {
+        let timer = self.timer.get_or_insert_with(|| Box::pin(tokio::time::sleep(after)));
+        timer.as_mut().poll(cx).is_ready()
+    }
+}
+
+impl AsyncRead for Guarded {
+    fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
+        let this = self.get_mut();
+        if this.connection.closing.get() {
+            return Poll::Ready(Ok(()));
+        }
+        let before = buf.filled().len();
+        let polled = Pin::new(&mut this.stream).poll_read(cx, buf);
+        let answering = this.connection.busy.get() > 0;
+        let mut scan = this.connection.scan.get();
+        if buf.filled().len() > before {
+            this.connection.touched.set(Instant::now());
+            if !answering {
+                scan.take(&buf.filled()[before..]);
+                this.connection.scan.set(scan);
+                if !scan.done && scan.bytes > this.head_bytes {
+                    buf.set_filled(before);
+                    return this.cut("431 Request Header Fields Too Large");
+                }
+            }
+        }
+        // Between requests a connection may rest; a head that is begun, or the first, may not.
+        let fresh = this.connection.carried.get() == Carried::Nothing;
+        if answering || scan.done || !scan.begun && !fresh {
+            this.timer = None;
+        } else if this.over(this.head, cx) && polled.is_pending() {
+            return this.cut("408 Request Timeout");
+        }
+        polled
+    }
+}
+
+impl AsyncWrite for Guarded {
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(cx, buf)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    /// Ends the writing, and reads on for a while what the peer still sends.
+    fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        let this = self.get_mut();
+        if !std::mem::replace(&mut this.shut, true) {
+            this.connection.closing.set(true);
+            this.timer = None;
+        }
+        std::task::ready!(Pin::new(&mut this.stream).poll_shutdown(cx))?;
+        let mut scratch = [0; 16 * 1024];
+        // So many reads at a time: others want their turn.
+        for _ in 0..16 {
+            let mut unread = ReadBuf::new(&mut scratch);
+            match Pin::new(&mut this.stream).poll_read(cx, &mut unread) {
+                Poll::Ready(Ok(())) if !unread.filled().is_empty() => {}
+                Poll::Ready(_) => return Poll::Ready(Ok(())),
+                Poll::Pending if this.over(this.linger, cx) => return Poll::Ready(Ok(())),
+                Poll::Pending => return Poll::Pending,
+            }
+        }
+        if this.over(this.linger, cx) {
+            return Poll::Ready(Ok(()));
+        }
+        cx.waker().wake_by_ref();
+        Poll::Pending
+    }
+}
+
 /// What a request's head says.
 struct Head {
     id: String,
@@ -414,7 +576,8 @@
     }
 
     fn bad(what: String) -> Reply {
-        Reply { body: what.into(), ..Reply::new(StatusCode::BAD_REQUEST, "") }
+        // Whoever wrote that has nothing to say that would be worth a place.
+        Reply { body: what.into(), close: true, ..Reply::new(StatusCode::BAD_REQUEST, "") }
     }
 
     fn too_large() -> Reply {
--- a/node/src/net/runners.rs
+++ b/node/src/net/runners.rs
@@ -36,6 +36,14 @@
     task: AbortHandle,
 }
 
+/// What a runner says to an attempt.
+enum Answered {
+    Taken,
+    /// The request itself is at fault.
+    Unusable,
+    Ended(Ending),
+}
+
 /// A job, by its id, at a runner, by its name.
 type JobAt = (Rc<str>, String);
 
@@ -82,8 +90,8 @@
         }
     }
 
-    /// Makes one attempt; the outcome and, for most, a report. `None` once the runner has taken it.
-    async fn attempt(&self, at: SocketAddr, id: &str, job: &Job, wait: Duration) -> Option<Ending> {
+    /// Makes one attempt: what the runner answers, if only that it has taken it.
+    async fn attempt(&self, at: SocketAddr, id: &str, job: &Job, wait: Duration) -> Answered {
         let mut request = self
             .client
             .post(format!("http://{at}{}", job.target))
@@ -105,20 +113,25 @@
             Ok(response) => response,
             Err(e) => {
                 log::debug!("attempt {id} at {at}: {e}");
-                return Some(Ending::bare(unanswered(&e)));
+                return Answered::Ended(Ending::bare(unanswered(&e)));
             }
         };
         let (status, report) = (response.status(), self.header_report(response.headers()));
         let turned_away = response.headers().get("X-Not-Processed").is_some_and(|v| v.as_bytes() == b"1");
-        let outcome = match status {
-            StatusCode::ACCEPTED => None,
+        let ended = |outcome| Answered::Ended(Ending { outcome, result: Bytes::new(), report });
+        let answered = match status {
+            StatusCode::ACCEPTED => Answered::Taken,
             StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if turned_away => {
-                Some(sr::Outcome::Full)
+                ended(sr::Outcome::Full)
+            }
+            StatusCode::INTERNAL_SERVER_ERROR => ended(sr::Outcome::Error),
+            StatusCode::BAD_REQUEST => {
+                log::info!("runner at {at} can't use request {id}");
+                Answered::Unusable
             }
-            StatusCode::INTERNAL_SERVER_ERROR => Some(sr::Outcome::Error),
             other => {
                 log::warn!("runner at {at} answered {other} to attempt {id}: taken for an error");
-                Some(sr::Outcome::Error)
+                ended(sr::Outcome::Error)
             }
         };
         // What a body holds is of no use, but unread it would cost the connection.
@@ -128,7 +141,7 @@
                 let _ = tokio::time::timeout(wait, response.body().limit(most)).await;
             });
         }
-        outcome.map(|outcome| Ending { outcome, result: Bytes::new(), report })
+        answered
     }
 
     fn header_report(&self, headers: &HeaderMap) -> Option<sr::Report> {
@@ -189,11 +202,12 @@
             }
             let wait = Duration::from_nanos((deadline - runtime.clock.now()).0);
             match this.attempt(at, &key.0, &job, wait).await {
-                None => {
+                Answered::Taken => {
                     log::debug!("runner {} took {}", key.1, key.0);
                     took.set(true);
                 }
-                Some(ending) => runtime.feed(Input::Ended(attempt, ending)),
+                Answered::Unusable => runtime.feed(Input::Unusable(attempt)),
+                Answered::Ended(ending) => runtime.feed(Input::Ended(attempt, ending)),
             }
         });
         let out = Out { id, runner: runner.to_owned(), taken, task: task.abort_handle() };
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -308,7 +308,8 @@
 }
 
 /// A runner of the platform. A job's text says what becomes of it: `serve`, `error`, `away`, `reset`,
-/// `hang` (taken, and nothing more), `early` (the call-back comes before the 202), `mute` (no 202).
+/// `hang` (taken, and nothing more), `early` (the call-back comes before the 202), `mute` (no 202),
+/// `unusable` (400).
 pub struct Runner {
     pub at: SocketAddr,
     /// `POST word id`, `DELETE id`.
@@ -357,6 +358,7 @@
             match word {
                 "mute" => {}
                 "reset" => return,
+                "unusable" => say("400 Bad Request"),
                 "away" => say("503 Service Unavailable\r\nX-Not-Processed: 1"),
                 "hang" => say("202 Accepted"),
                 "early" => {
@@ -380,7 +382,7 @@
 }
 
 fn word_of(text: &str) -> &'static str {
-    let words = ["error", "away", "reset", "hang", "early", "mute"];
+    let words = ["error", "away", "reset", "hang", "early", "mute", "unusable"];
     words.into_iter().find(|word| text.contains(word)).unwrap_or("serve")
 }
 
--- a/node/tests/gateway.rs
+++ b/node/tests/gateway.rs
@@ -88,6 +88,12 @@
     let mut caller = Caller::connect(at, None);
     let _ = caller.stream.get_mut().write_all(&vec![b'x'; 200 * 1024]);
     assert!(caller.line().is_none_or(|line| line.starts_with("-ERR MALFORMED a frame")));
+    // One that breaks off in its midst; a connection that rests between two is left alone.
+    let (mut rests, mut halts) = (Caller::connect(at, None), Caller::connect(at, None));
+    halts.stream.get_mut().write_all(b"PUSH {").unwrap();
+    assert!(halts.line().unwrap().starts_with("-ERR MALFORMED a frame is too slow"));
+    assert_eq!(halts.line(), None);
+    assert!(rests.say("INFO").starts_with('$'));
     // And the front goes on.
     assert_eq!(Caller::connect(at, Some("w-1")).say("FETCH routes"), "$-1");
 }
--- a/node/tests/platform.rs
+++ b/node/tests/platform.rs
@@ -4,7 +4,7 @@
 
 use common::*;
 use serde_json::{Value, json};
-use std::io::{BufReader, Write};
+use std::io::{BufReader, Read, Write};
 use std::net::{Shutdown, TcpListener, TcpStream};
 use std::process::Stdio;
 use std::thread;
@@ -25,6 +25,7 @@
 }
 
 fn answer(stream: &TcpStream) -> Option<Message> {
+    stream.set_read_timeout(Some(PATIENCE)).unwrap();
     read_message(&mut BufReader::new(stream.try_clone().unwrap()))
 }
 
@@ -277,6 +278,144 @@
     discovery.calls.wait("stream=1", 2);
 }
 
+/// What is written, as it comes back: the status, and that nothing but the stream's end follows. A
+/// reset in place of the end would mean that the answer may get lost on its way.
+fn last_words(stream: &mut TcpStream, what: &str) -> u16 {
+    stream.set_read_timeout(Some(PATIENCE)).unwrap();
+    let mut text = String::new();
+    stream.read_to_string(&mut text).unwrap_or_else(|e| panic!("{what}: {e}"));
+    assert_eq!(text.matches("HTTP/1.1").count(), 1, "{what}: {text}");
+    Message { first: text, ..Message::default() }.status()
+}
+
+/// After an error on framing nothing that follows can be trusted: an error, then the end, and nothing
+/// of it goes on to a runner, above all no request that is hidden in another's body.
+#[test]
+fn what_cannot_be_framed_gets_an_error_and_the_end_and_is_not_sent_on() {
+    let (_discovery, runner, program) = one_runner();
+    let hidden =
+        format!("{}\r\nHost: t\r\nContent-Length: 1\r\n\r\nx", api("bin-check", "hidden", "5000m", ""));
+    let chunked = format!("{:x}\r\n{hidden}\r\n0\r\n\r\n", hidden.len());
+    for (framing, body) in [
+        (format!("Content-Length: {}\r\nTransfer-Encoding: chunked", chunked.len()), chunked.as_str()),
+        ("Transfer-Encoding: chunked\r\nContent-Length: 5".to_owned(), "0\r\n\r\n"),
+        ("Content-Length: 1\r\nContent-Length: 2".to_owned(), "xx"),
+        ("Content-Length: -1".to_owned(), "x"),
+        ("Content-Length: +1".to_owned(), "x"),
+        ("Content-Length: one".to_owned(), "x"),
+        ("Content-Length: 99999999999999999999999".to_owned(), "x"),
+        ("Content-Length: 18446744073709551615".to_owned(), hidden.as_str()),
+        ("Transfer-Encoding: gzip".to_owned(), "x"),
+        ("Transfer-Encoding: chunked".to_owned(), "-1\r\nx\r\n0\r\n\r\n"),
+        ("Transfer-Encoding: chunked".to_owned(), "fffffffffffffffff\r\nx\r\n0\r\n\r\n"),
+        ("No colon".to_owned(), hidden.as_str()),
+    ] {
+        let mut stream = TcpStream::connect(program.at).unwrap();
+        let head = api("bin-check", &new_id(), "5000m", "");
+        write!(stream, "{head}\r\nHost: t\r\n{framing}\r\n\r\n{body}").unwrap();
+        assert!((400..500).contains(&last_words(&mut stream, &framing)), "{framing}");
+    }
+    for text in ["no request at all\r\n\r\n", "GET /up HTTP/1.1\r\n\r\n", "\0\0\0\0\r\n\r\n"] {
+        let mut stream = TcpStream::connect(program.at).unwrap();
+        stream.write_all(text.as_bytes()).unwrap();
+        assert_eq!(last_words(&mut stream, text), 400);
+    }
+    assert_eq!(runner.seen.all(), Vec::<String>::new());
+}
+
+/// What is far too large is turned down at once, and the answer arrives although the client writes on.
+#[test]
+fn what_is_too_large_gets_its_answer_however_much_is_sent() {
+    let (_discovery, _runner, program) = one_runner();
+    let mut stream = TcpStream::connect(program.at).unwrap();
+    let body = vec![b'x'; 8 * 1024 * 1024];
+    write!(
+        stream,
+        "{}\r\nHost: t\r\nContent-Length: {}\r\n\r\n",
+        api("bin-check", "a", "50m", ""),
+        body.len()
+    )
+    .unwrap();
+    stream.write_all(&body).unwrap();
+    stream.shutdown(Shutdown::Write).unwrap();
+    assert_eq!(last_words(&mut stream, "body"), 413);
+    // A head far over the size, but within what actix-http would take.
+    let mut stream = TcpStream::connect(program.at).unwrap();
+    write!(stream, "GET /up HTTP/1.1\r\nX: {}", "x".repeat(32 * 1024)).unwrap();
+    assert_eq!(last_words(&mut stream, "head"), 431);
+}
+
+/// Whoever says nothing, or breaks off in the midst of a head or body, hears so and is let go, also on
+/// a connection that has carried a request; one that rests between requests is left alone.
+#[test]
+fn what_does_not_come_to_its_end_is_not_waited_for() {
+    let (_discovery, runner, program) = one_runner();
+    let served = || {
+        let mut stream = TcpStream::connect(program.at).unwrap();
+        let id = new_id();
+        write!(stream, "{}\r\nHost: t\r\nContent-Length: 1\r\n\r\nx", api("short-pick", &id, "5000m", ""))
+            .unwrap();
+        assert_eq!(answer(&stream).unwrap().status(), 200);
+        stream
+    };
+    let rests = served();
+    let half =
+        format!("{}\r\nHost: t\r\nContent-Length: 100\r\n\r\nx", api("bin-check", &new_id(), "5000m", ""));
+    let fresh = || TcpStream::connect(program.at).unwrap();
+    let mut streams = [
+        (fresh(), ""),
+        (fresh(), "POST /api"),
+        (fresh(), half.as_str()),
+        (served(), "POST"),
+        (served(), half.as_str()),
+    ];
+    for (stream, text) in &mut streams {
+        stream.write_all(text.as_bytes()).unwrap();
+    }
+    for (stream, text) in &mut streams {
+        assert_eq!(last_words(stream, text), 408, "{text}");
+    }
+    assert_eq!(runner.seen.count("POST"), 3);
+    write!(&rests, "GET /up HTTP/1.1\r\nHost: t\r\n\r\n").unwrap();
+    assert_eq!(answer(&rests).unwrap().status(), 200);
+}
+
+/// Hundreds that connect and say nothing: a client that comes after them finds a place before their
+/// time is up, and one that was there keeps its own.
+#[test]
+fn silent_connections_cost_clients_nothing() {
+    let runner = Runner::start("s-0");
+    let discovery = Discovery::start(vec![host("s-0", runner.at, "hall-a", "active")]);
+    let mut config = Program::config(discovery.at, settings());
+    config["limits"]["sockets"] = json!(64);
+    let program = Program::start_with(config, None);
+    runner.call_back_to(&program);
+    let ask = |stream: &mut TcpStream| {
+        write!(
+            stream,
+            "{}\r\nHost: t\r\nContent-Length: 1\r\n\r\nx",
+            api("short-pick", &new_id(), "5000m", "")
+        )
+        .unwrap();
+        answer(stream).unwrap()
+    };
+    let mut there = TcpStream::connect(program.at).unwrap();
+    assert_eq!(ask(&mut there).status(), 200);
+    let _silent: Vec<_> = (0..40).map(|_| TcpStream::connect(program.at).unwrap()).collect();
+    let late = ask(&mut TcpStream::connect(program.at).unwrap());
+    let again = ask(&mut there);
+    assert_eq!((late.status(), again.status()), (200, 200));
+    assert_eq!((late.headers.get("connection"), again.headers.get("connection")), (None, None));
+}
+
+/// A request that its runner can't use is at fault itself: it fails at once and goes nowhere else.
+#[test]
+fn a_request_that_a_runner_cannot_use_is_not_tried_again() {
+    let (_discovery, runner, program) = one_runner();
+    assert_eq!(call(program.at, &api("bin-check", &new_id(), "5000m", ""), "unusable").status(), 502);
+    assert_eq!(runner.seen.count("POST unusable"), 1);
+}
+
 /// The jobs of a client that sends one after another on one connection all get their answers there.
 #[test]
 fn a_connection_carries_one_request_after_another() {
