Use hints of running time, and copy running jobs whose answers are lost

Checked with a trace of every call-back: from 6 to 16 s one job in seven starts and never tells its end, at nearly every runner. Ruled out: connections, 202s (all came) and the list. At fault: balance.rs looked no more after a started attempt, so a lost answer held its request and, by belief, a slot until the deadline, and what came later was refused; and it never read Arrival::estimate, so pace was taught by jobs of any size and heavy ones were run where they must end late.

Now work is the hint times a learned scale (the class's mean without one): for price, rank and pace. A worker that would end the job after its aim is not ready for it. A running attempt that is overdue (3 times its usual time; 1.4 times once answers are believed lost) gets a second copy within the budget of moves and its class, and where answers are lost it is taken off the load. Both new tests fail without it.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -11,6 +11,8 @@
 const FLOOR: f64 = 1e-4;
 /// Slots a machine kind is taken to have until it shows otherwise.
 const SLOTS_PRIOR: f64 = 5.0;
+/// Running time at the fleet's mean pace for each second of a hint, until jobs show it.
+const SCALE_PRIOR: f64 = 1.25;
 /// Jobs' worth of belief in what a worker's kind shows, against what it shows itself.
 const KIND_WEIGHT: f64 = 4.0;
 /// Half-life of what a worker has shown of its pace (takes the place of the paper's m jobs).
@@ -36,6 +38,10 @@
 const MISS_HALF_LIFE: f64 = 10.0;
 /// Share of failures beyond which a worker is not ready for a class, or an error is the request's own.
 const MISS_LIMIT: f64 = 0.5;
+/// Times its usual running time after which an attempt is overdue, where answers are lost and elsewhere,
+/// and the share from which on they are.
+const OVERDUE: (f64, f64) = (1.4, 3.0);
+const LOSING: f64 = 0.3;
 /// What starts at home must be late more often, beyond the price of crossing: shares differ so by chance.
 const CROSS_MARGIN: f64 = 0.1;
 /// Where no budget of further attempts is stated, moves and second copies keep to this one. Guards a full
@@ -131,14 +137,21 @@
     idle: f64,
     ended: Option<Outcome>,
     cancelled: bool,
+    /// It should have ended long ago; its answer is taken for lost, and it for no load any more.
+    overdue: bool,
+    lost: bool,
 }
 
 #[derive(Default)]
 struct Request {
     class: usize,
     slots: f64,
-    /// Its class's mean running time when it came.
+    /// Running time at the fleet's mean pace: by its hint, else its class's mean when it came.
     work: f64,
+    hint: f64,
+    /// When it came, and the time from then on by which it is to be done.
+    came: f64,
+    aim: f64,
     deadline: Time,
     /// Beyond `latest` a start is of no use; at `withdraw` a waiting attempt is given up.
     latest: Time,
@@ -187,6 +200,8 @@
     pumping: bool,
     /// Running time of a mean request times its slots, as requests come.
     mean_work: f64,
+    /// Running time at the fleet's mean pace for each second of a hint, and the jobs that showed it.
+    scale: (f64, f64),
     /// Reported latency of a worker of mean pace.
     base_latency: f64,
     /// When the requests were taken, and attempts beyond a first made, that the budget's window still holds.
@@ -198,6 +213,8 @@
     turned_away: f64,
     /// Share of errors among the answers of late.
     erring: f64,
+    /// Share of attempts of late whose answers were lost, by belief.
+    losing: f64,
     /// Share of errors that were met again at another worker, and when that was counted.
     again: (f64, f64),
     /// Idle time for which connections have been found to last.
@@ -228,6 +245,7 @@
             late_starts: [0.0; 2],
             turned_away: 0.0,
             erring: 0.0,
+            losing: 0.0,
             again: (0.0, 0.0),
             taken: VecDeque::new(),
             further: VecDeque::new(),
@@ -242,6 +260,7 @@
             held: BTreeSet::new(),
             pumping: false,
             mean_work: 0.1,
+            scale: (SCALE_PRIOR, 10.0),
             base_latency: 0.0,
             subscribing: false,
         })
@@ -375,10 +394,15 @@
     /// How many times longer than the fleet's mean a job takes at this worker. Jobs that are still
     /// running count with their time so far, so a worker that slows or stalls grows dear at once.
     fn slowness(&self, i: usize) -> f64 {
+        let load = &self.workers[i].load;
+        self.pace(i, (load.rate * self.at - load.rate_start).max(0.0))
+    }
+
+    /// The same by the jobs that have ended, with those still running counted for `so_far`.
+    fn pace(&self, i: usize, so_far: f64) -> f64 {
         let w = &self.workers[i];
         let (keep, kind) = (left(self.at - w.shown_at, PACE_HALF_LIFE), self.peers(i));
         let prior = (KIND_WEIGHT + kind.took) / (KIND_WEIGHT + kind.shown);
-        let so_far = (w.load.rate * self.at - w.load.rate_start).max(0.0);
         (KIND_WEIGHT * prior + w.took * keep + so_far) / (KIND_WEIGHT + w.shown * keep)
     }
 
@@ -534,7 +558,10 @@
         let w = &self.workers[i];
         let left = 1.0 - request.yields * self.turned_away;
         let tried = w.trial.is_none_or(|trial| safe && self.at >= trial && w.load.waiting == 0);
+        // Where a hint tells how long the job runs: not where it would end too late to be of use.
+        let done = self.at - request.came + request.work * v.slowness / v.warmth;
         tried
+            && (request.hint == 0.0 || done <= request.aim)
             && self.missed(i, request.class) < MISS_LIMIT
             && v.queue + request.slots.ceil() <= self.peers(i).slots * left + 0.5
     }
@@ -595,7 +622,7 @@
     // ---- requests ----
 
     fn arrive(&mut self, arrival: Arrival) {
-        let Arrival { request: id, class, tenant, deadline, .. } = arrival;
+        let Arrival { request: id, class, tenant, deadline, estimate, .. } = arrival;
         let (c, slots) = (class.0 as usize, arrival.slots.max(arrival.memory).max(1.0));
         if c >= self.classes.len() || self.requests.contains_key(&id) {
             return;
@@ -608,9 +635,12 @@
         stat.longest = stat.longest.max(window);
         let retry = if self.settings.marks_retries { arrival.retry } else { window > stat.longest / 3.0 };
         let age = if retry { (stat.longest - window).max(0.0) } else { 0.0 };
-        let work = stat.mean;
+        let hint = estimate.secs();
+        let work = if hint > 0.0 { hint * self.scale.0 } else { stat.mean };
+        let mean = stat.mean;
         let start_by = |share: f64| {
-            let slack = settings.objective.secs() + share * (settings.stretch - 1.0).max(0.0) * work;
+            let slack =
+                settings.objective.secs() + share * (settings.stretch - 1.0).max(0.0) * mean.max(work);
             (self.now + Span::from_secs((slack - age).max(0.0))).min(deadline)
         };
         let latest = start_by(SLACK_USED);
@@ -622,7 +652,7 @@
             Effect::Unsafe => deadline,
             _ => start_by(2.0),
         };
-        self.mean_work += 0.03 * (work * slots - self.mean_work);
+        self.mean_work += 0.03 * (mean * slots - self.mean_work);
         let rank = (work * slots / settings.worth * 1e6) as u64;
         let by_work = self.settings.worth_by_work;
         let dear = |class: &Class, stat: &ClassStat| class.worth / if by_work { 1.0 } else { stat.mean };
@@ -631,6 +661,8 @@
         let yields = 1.0 - dear(settings, &self.classes[c]) / slots / dearest;
         let mut request = Request { class: c, slots, work, deadline, latest, withdraw, ..Request::default() };
         (request.over_share, request.rank, request.yields) = (over_share, rank, yields);
+        (request.hint, request.came) = (hint, self.at - age);
+        request.aim = settings.objective.secs() + settings.stretch * if hint > 0.0 { hint } else { work };
         self.requests.insert(id, request);
         self.taken.push_back(self.now);
         self.turn();
@@ -777,6 +809,7 @@
         attempt.heard = self.now;
         let (i, idle, delay) = (attempt.worker, attempt.idle, (self.now - attempt.sent).secs());
         if note == Note::Started && attempt.started.is_none() {
+            let hinted = request.hint > 0.0;
             attempt.started = Some(self.now);
             self.lasted(idle, true);
             let due = self.start_due(i, idle, class).secs();
@@ -800,10 +833,76 @@
                 self.see_others(i, room - self.workers[i].load.own);
             }
             self.peers[self.workers[i].group].slots = (room + change).max(1.0);
+            if hinted && self.settings.progress.0 == 0 {
+                let due = self.now + self.overdue(i, work);
+                self.out.push(Action::Timer(due, attempt_token(id, number as usize)));
+            }
         }
         self.alive(i);
     }
 
+    /// How long after its start an attempt is overdue. Where answers have been lost of late, that is soon.
+    fn overdue(&self, i: usize, work: f64) -> Span {
+        let patience = if self.losing > LOSING { OVERDUE.0 } else { OVERDUE.1 };
+        Span::from_secs(work * self.pace(i, 0.0) * patience + self.settings.tick.secs())
+    }
+
+    /// Looks after a running attempt whose end is overdue: a second copy may still be in time. Guards
+    /// against answers that are lost on their way, and slots that are believed to be taken by those;
+    /// could do harm where jobs just run longer than hinted, so it waits longer until some were lost.
+    fn look_after_running(&mut self, id: RequestId, number: usize) {
+        let request = &self.requests[&id];
+        let (work, newest) = (request.work, number + 1 == request.attempts.len());
+        let attempt = &request.attempts[number];
+        let (i, start) = (attempt.worker, attempt.started.unwrap_or(self.now));
+        let due = start + self.overdue(i, work);
+        if self.now < due {
+            self.out.push(Action::Timer(due, attempt_token(id, number)));
+            return;
+        }
+        if !attempt.overdue {
+            self.losing += 0.1 * (1.0 - self.losing);
+            let lost = self.losing > LOSING;
+            if lost {
+                self.unload(id, number);
+            }
+            let attempt = &mut self.requests.get_mut(&id).expect("looked up above").attempts[number];
+            (attempt.overdue, attempt.lost) = (true, lost);
+        }
+        if newest
+            && self.settings.parallel
+            && number + 1 < self.settings.max_attempts as usize
+            && self.turn() == Some(self.now)
+            && let Some(other) = self.draw(id, Some(i))
+        {
+            self.send(id, other);
+        } else if newest && self.at < self.requests[&id].came + self.requests[&id].aim {
+            let wait = Span::from_secs(work * 0.25).max(self.settings.tick);
+            self.out.push(Action::Timer(self.now + wait, attempt_token(id, number)));
+        }
+    }
+
+    /// Takes an attempt that has ended, or is believed to have, off its worker's load.
+    fn unload(&mut self, id: RequestId, number: usize) {
+        let request = &self.requests[&id];
+        let (slots, work, attempt) = (request.slots, request.work, &request.attempts[number]);
+        if attempt.lost {
+            return;
+        }
+        let load = &mut self.workers[attempt.worker].load;
+        load.own = (load.own - slots).max(0.0);
+        let Some(start) = attempt.started else {
+            load.waiting -= 1;
+            return;
+        };
+        load.running = (load.running - slots).max(0.0);
+        load.rate -= 1.0 / work;
+        load.rate_start -= (start - self.epoch).secs() / work;
+        if load.running == 0.0 {
+            (load.rate, load.rate_start) = (0.0, 0.0);
+        }
+    }
+
     fn start_seen(&mut self, i: usize, prompt: bool) {
         let place = usize::from(self.away(i));
         self.late_starts[place] += 0.05 * (f64::from(u8::from(!prompt)) - self.late_starts[place]);
@@ -829,7 +928,7 @@
 
     fn ended(&mut self, id: RequestId, number: u32, outcome: Outcome, closed: bool, report: Option<Report>) {
         let Some(request) = self.requests.get_mut(&id) else { return };
-        let (class, slots, work) = (request.class, request.slots, request.work);
+        let (class, work, hint) = (request.class, request.work, request.hint);
         let attempt = request.attempts.get_mut(number as usize).filter(|a| a.ended.is_none());
         let Some(attempt) = attempt else { return };
         attempt.ended = Some(outcome);
@@ -848,21 +947,11 @@
             self.workers[i].idle.push(self.at);
             self.alive(i);
         }
+        self.unload(id, number as usize);
         let w = &mut self.workers[i];
-        w.load.own = (w.load.own - slots).max(0.0);
-        match started {
-            None => w.load.waiting -= 1,
-            Some(start) => {
-                w.load.running = (w.load.running - slots).max(0.0);
-                w.load.rate -= 1.0 / work;
-                w.load.rate_start -= (start - self.epoch).secs() / work;
-                if w.load.running == 0.0 {
-                    (w.load.rate, w.load.rate_start) = (0.0, 0.0);
-                }
-            }
-        }
         match outcome {
             Outcome::Ok => {
+                self.losing -= 0.02 * self.losing;
                 let total = (self.now - sent).secs();
                 let ran = match started {
                     Some(start) => (self.now - start).secs(),
@@ -873,6 +962,11 @@
                 let stat = &mut self.classes[class];
                 stat.seen = (stat.seen + 1.0).min(200.0);
                 stat.mean = (stat.mean + (ran / slowness - stat.mean) / stat.seen).max(1e-4);
+                if hint > 0.0 {
+                    let (scale, seen) = &mut self.scale;
+                    *seen = (*seen + 1.0).min(200.0);
+                    *scale = (*scale + (ran / slowness / hint - *scale) / *seen).max(0.01);
+                }
                 self.show_pace(i, ran / work);
             }
             Outcome::Error => self.miss(i, class, 1.0),
@@ -932,9 +1026,12 @@
         let (class, token) = (request.class, attempt_token(id, number));
         let Some(attempt) = request.attempts.get(number) else { return };
         let (i, started, progress) = (attempt.worker, attempt.started.is_some(), self.settings.progress);
-        if attempt.ended.is_some() || attempt.cancelled || (started && progress.0 == 0) {
+        if attempt.ended.is_some() || attempt.cancelled {
             return;
         }
+        if started && progress.0 == 0 {
+            return self.look_after_running(id, number);
+        }
         let due = if started { Span(progress.0 * 8 / 5) } else { self.start_due(i, attempt.idle, class) };
         let (heard, newest) = (attempt.heard, number + 1 == request.attempts.len());
         // Guards against blame for what came during an own stall; after a quiet while it costs a tick.
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -689,3 +689,54 @@
         );
     }
 }
+
+/// A heavy job at a slow worker ends late however early it starts: where a hint tells how long it runs,
+/// it waits for one that is fast enough, while light jobs still go to both.
+#[test]
+fn a_job_hinted_to_be_heavy_avoids_workers_that_would_end_it_late() {
+    let mut world = two_workers(5);
+    let mut seen = [0, 0];
+    for n in 0..200 {
+        world.arrive_hinted(n, 0, ms(50));
+        let slow = world.requests[&RequestId(n)].attempts[0].0 == WorkerId(1);
+        seen[usize::from(slow)] += 1;
+        serve(&mut world, ms(if slow { 150 } else { 50 }));
+    }
+    assert!(seen[0] > 20 && seen[1] > 20, "{seen:?}");
+    let before = sent_to(&world, 1);
+    for n in 200..230 {
+        world.arrive_hinted(n, 0, ms(1000));
+        serve(&mut world, ms(10));
+    }
+    assert_eq!(sent_to(&world, 1), before);
+    assert_eq!(world.broken, Vec::<String>::new());
+}
+
+/// Half of the answers are lost on their way: their jobs get a second copy while that may still be in
+/// time, and take no slots by belief any more, so that what comes later is sent at once.
+#[test]
+fn lost_answers_cost_neither_their_requests_nor_the_slots() {
+    let mut world = World::new(Settings { zone: None, progress: Span(0), ..settings() }, 6);
+    world.list(ListKind::Saved, vec![worker(0), worker(1)]);
+    for n in 0..200 {
+        world.arrive_hinted(n, 0, ms(50));
+        let first = world.open().into_iter().filter(|(id, attempt)| (*id, *attempt) == (n, 0));
+        for (id, attempt) in first.collect::<Vec<_>>() {
+            world.start(id, attempt);
+        }
+        world.pass(ms(60));
+        for (id, attempt) in world.open() {
+            // A second copy is always heard of; of the first ones, every other.
+            if attempt > 0 || id % 2 == 0 {
+                world.start(id, attempt);
+                world.end(id, attempt, Outcome::Ok);
+            }
+        }
+    }
+    let late = |n: &u32| world.requests[&RequestId(*n)].attempts.len();
+    let copied = (50..190).step_by(2).map(|n| late(&(n + 1))).filter(|attempts| *attempts > 1).count();
+    let unsent = (50..200).filter(|n| late(n) == 0).count();
+    assert!(copied >= 10, "{copied} of 70 lost ones were copied");
+    assert_eq!(unsent, 0);
+    assert_eq!(world.broken, Vec::<String>::new());
+}
