--- /dev/null
+++ b/keys/benches/store.rs
@@ -0,0 +1,91 @@
+//! What a step of the store costs at 1e3, 1e5 and 1e6 keys, and what a key takes in memory. Prints the
+//! ratio to the smallest size beside the limit of 2, and the bytes a key beside what the store counts.
+//!
+//! A step is the whole life of a key: a lookup that finds nothing, its entry, a repeat that joins, its
+//! settling, a repeat that takes the result, and the dropping of one key that has expired.
+
+use criterion::Criterion;
+use sablerun::{Span, Time};
+use sablerun_keys::{Admission, Asked, Bounds, Fate, Fingerprint, Member, Rule, Run, Store};
+use std::hint::black_box;
+use std::time::{Duration, Instant};
+
+#[global_allocator]
+static HEAP: cap::Cap<std::alloc::System> = cap::Cap::new(std::alloc::System, usize::MAX);
+
+const RESULT: usize = 100;
+
+fn key(number: u64) -> [u8; 32] {
+    // As clients write them: 32 hexadecimal digits that are spread evenly.
+    let spread = u128::from(number).wrapping_mul(0x9e37_79b9_7f4a_7c15_f39c_c060_5ced_c835);
+    let text = format!("{spread:032x}");
+    text.as_bytes().try_into().expect("32 digits")
+}
+
+fn asked(key: &[u8]) -> Asked<'_> {
+    Asked { member: Member(1), class: 0, key, print: Fingerprint([3; 16]), retry: false }
+}
+
+/// A store that holds so many served keys, one settled each microsecond, the oldest about to expire.
+fn filled(size: u64) -> (Store, u64) {
+    let bounds = Bounds {
+        entries: size as usize * 2,
+        bytes: usize::MAX,
+        result: 4096,
+        key: 64,
+        member: usize::MAX,
+        hold_off: Span(1),
+    };
+    let mut store = Store::new(bounds, vec![Rule { window: Span(size), keep: Span(size) }]);
+    for number in 0..size {
+        life(&mut store, number);
+    }
+    (store, size)
+}
+
+fn life(store: &mut Store, number: u64) {
+    let key = key(number);
+    let now = Time(number);
+    assert_eq!(store.ask(now, &asked(&key), Run(number)), Admission::New);
+    assert_eq!(store.ask(now, &asked(&key), Run(number)), Admission::Join(Run(number)));
+    store.settle(now, Member(1), 0, &key, Fate::Served(vec![7; RESULT].into()));
+    assert!(matches!(store.ask(now, &asked(&key), Run(number)), Admission::HandBack(_)));
+}
+
+fn main() {
+    let mut criterion = Criterion::default()
+        .configure_from_args()
+        .warm_up_time(Duration::from_millis(300))
+        .measurement_time(Duration::from_secs(2));
+    let mut figures = Vec::new();
+    for size in [1_000u64, 100_000, 1_000_000] {
+        let before = HEAP.allocated();
+        let (mut store, mut next) = filled(size);
+        let (held, counted) = (HEAP.allocated() - before, store.bytes());
+        criterion.bench_function(&format!("life of a key at {size}"), |b| {
+            b.iter(|| {
+                life(black_box(&mut store), next);
+                next += 1;
+            });
+        });
+        // The least of several rounds: what else the machine does only adds.
+        let round = |store: &mut Store, next: &mut u64| {
+            let begun = Instant::now();
+            for _ in 0..20_000 {
+                life(store, *next);
+                *next += 1;
+            }
+            begun.elapsed().as_nanos() as f64 / 20_000.0
+        };
+        let least = (0..9).map(|_| round(&mut store, &mut next)).fold(f64::INFINITY, f64::min);
+        figures.push((size, least, held as f64 / size as f64, counted as f64 / size as f64));
+    }
+    let base = figures[0].1;
+    println!(
+        "{:>9}  {:>9}  {:>12}  {:>10}  {:>11}",
+        "keys", "ns a life", "ratio (<= 2)", "bytes held", "as counted"
+    );
+    for (size, ns, held, counted) in figures {
+        println!("{size:>9}  {ns:>9.0}  {:>12.2}  {held:>10.0}  {counted:>11.0}", ns / base);
+    }
+}
--- /dev/null
+++ b/keys/src/store.rs
@@ -0,0 +1,421 @@
+//! The store itself. It owns the two halves of what is known, keys under way and keys settled, and the
+//! count of their bytes. It must never drop what is under way or inside its window.
+//!
+//! Settled keys stand in one lane for each class and kind of fate. In a lane all keys are kept for
+//! equally long, so the order of settling is the order of expiry, and the front of a lane is its oldest.
+//! There are two lanes a class however many keys there are: a step costs a few look-ups, and the dropping
+//! of what has expired is paid for by the steps that put it there.
+
+use crate::{Admission, Asked, Bounds, Counts, Fate, Fingerprint, Member, Rule, Run, Sent};
+use bytes::Bytes;
+use hashlink::LinkedHashMap;
+use sablerun::{Span, Time};
+use std::collections::HashMap;
+
+/// Bytes that an entry takes beside its key and result: both tables' slots and links at their usual
+/// load, and the allocator's round-up (the benchmark `store` measures it).
+const OVERHEAD: usize = 224;
+/// Most expired entries that one step drops.
+const STRIDE: usize = 256;
+
+/// Member and class, 4 bytes each, then the key: one allocation, and look-ups by a slice.
+type Id = Box<[u8]>;
+type Hash = foldhash::fast::RandomState;
+
+struct UnderWay {
+    print: Fingerprint,
+    run: Run,
+    /// What is known of an earlier try that may have run.
+    earlier: Option<Sent>,
+}
+
+struct Settled {
+    print: Fingerprint,
+    at: Time,
+    /// `None` in a lane of served keys: the result was not kept.
+    result: Option<Bytes>,
+    /// Set in a lane of keys that may have run.
+    sent: Option<Sent>,
+}
+
+type Lane = LinkedHashMap<Id, Settled, Hash>;
+
+struct Class {
+    rule: Rule,
+    served: Lane,
+    uncertain: Lane,
+}
+
+/// One settled or unfinished key, as a snapshot keeps it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Record {
+    /// Whose key.
+    pub member: Member,
+    /// Its class.
+    pub class: u32,
+    /// The key.
+    pub key: Vec<u8>,
+    /// What was asked for.
+    pub print: Fingerprint,
+    /// When it was settled.
+    pub at: Time,
+    /// How: served, or may have run.
+    pub fate: Fate,
+}
+
+/// The store.
+pub struct Store {
+    bounds: Bounds,
+    classes: Vec<Class>,
+    under_way: HashMap<Id, UnderWay, Hash>,
+    /// Entries of each member, under way and settled.
+    members: HashMap<Member, usize, Hash>,
+    settled: usize,
+    bytes: usize,
+    /// Until when a later try may be of a request that a predecessor took.
+    unknown_until: Time,
+    counts: Counts,
+    /// The identity being looked up.
+    scratch: Vec<u8>,
+}
+
+impl Store {
+    /// An empty store with a rule for each class.
+    pub fn new(bounds: Bounds, rules: Vec<Rule>) -> Store {
+        let lane = || LinkedHashMap::with_hasher(Hash::default());
+        let class = |rule: Rule| {
+            let rule = Rule { keep: rule.keep.max(rule.window), ..rule };
+            Class { rule, served: lane(), uncertain: lane() }
+        };
+        Store {
+            bounds,
+            classes: rules.into_iter().map(class).collect(),
+            under_way: HashMap::default(),
+            members: HashMap::default(),
+            settled: 0,
+            bytes: 0,
+            unknown_until: Time(0),
+            counts: Counts::default(),
+            scratch: Vec::new(),
+        }
+    }
+
+    /// Until then a marked later try under an unknown key fails: a predecessor may have sent it anywhere.
+    pub fn doubt_until(&mut self, until: Time) {
+        self.unknown_until = until;
+    }
+
+    /// Keys held.
+    pub fn len(&self) -> usize {
+        self.under_way.len() + self.settled
+    }
+
+    /// Whether no key is held.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    /// Bytes held: keys, results and an overhead for each.
+    pub fn bytes(&self) -> usize {
+        self.bytes
+    }
+
+    /// What has been counted so far.
+    pub fn counts(&self) -> Counts {
+        self.counts
+    }
+
+    /// What a request may do. Where that is to begin, the key is under way as `run` until
+    /// [`settle`](Store::settle) ends it.
+    ///
+    /// Guards against a repeat that runs a second time, at another hall above all. Could do harm where a
+    /// client uses one key for two requests: the second gets the first one's answer, unless its body or
+    /// path differs.
+    pub fn ask(&mut self, now: Time, asked: &Asked, run: Run) -> Admission {
+        if asked.key.is_empty() || asked.key.len() > self.bounds.key {
+            return Admission::BadKey;
+        }
+        let Some(class) = self.classes.get_mut(asked.class as usize) else { return Admission::BadKey };
+        identity(&mut self.scratch, asked.member, asked.class, asked.key);
+        let id = self.scratch.as_slice();
+        if let Some(held) = self.under_way.get(id) {
+            if held.print != asked.print {
+                self.counts.conflicts += 1;
+                return Admission::Conflict;
+            }
+            self.counts.joined += 1;
+            return Admission::Join(held.run);
+        }
+        let rule = class.rule;
+        if let Some(held) = class.served.get(id).filter(|held| now < held.at + rule.window) {
+            return if held.print != asked.print {
+                self.counts.conflicts += 1;
+                Admission::Conflict
+            } else if let Some(result) = &held.result {
+                self.counts.handed_back += 1;
+                Admission::HandBack(result.clone())
+            } else {
+                self.counts.not_kept += 1;
+                Admission::NotKept
+            };
+        }
+        if let Some(held) = class.uncertain.get(id).filter(|held| now < held.at + rule.keep) {
+            if held.print != asked.print {
+                self.counts.conflicts += 1;
+                return Admission::Conflict;
+            }
+            let sent = held.sent.filter(|sent| sent.place.is_some() && now < sent.first + rule.window);
+            let Some(sent) = sent else {
+                self.counts.spent += 1;
+                return Admission::Spent;
+            };
+            // From settled to under way: it takes no more room than it has.
+            let (id, held) = class.uncertain.remove_entry(id).expect("looked up above");
+            self.settled -= 1;
+            self.counts.again += 1;
+            self.under_way.insert(id, UnderWay { print: held.print, run, earlier: Some(sent) });
+            return Admission::Again(sent);
+        }
+        if asked.retry && now < self.unknown_until {
+            self.counts.unknown += 1;
+            return Admission::Unknown;
+        }
+        let need = OVERHEAD + id.len();
+        if let Some(wait) = self.no_room(now, asked.member, need) {
+            return Admission::Full(wait);
+        }
+        // It may still stand in a lane, expired.
+        let class = &mut self.classes[asked.class as usize];
+        for lane in [&mut class.served, &mut class.uncertain] {
+            if let Some((id, held)) = lane.remove_entry(self.scratch.as_slice()) {
+                self.settled -= 1;
+                uncount(&mut self.bytes, &mut self.members, &id, &held);
+            }
+        }
+        self.counts.began += 1;
+        self.bytes += need;
+        *self.members.entry(asked.member).or_default() += 1;
+        let begun = UnderWay { print: asked.print, run, earlier: None };
+        self.under_way.insert(self.scratch.as_slice().into(), begun);
+        Admission::New
+    }
+
+    /// Ends the run of a key; one that is not under way is passed over.
+    pub fn settle(&mut self, now: Time, member: Member, class: u32, key: &[u8], fate: Fate) {
+        identity(&mut self.scratch, member, class, key);
+        let Some((id, held)) = self.under_way.remove_entry(self.scratch.as_slice()) else { return };
+        let (result, sent) = match (fate, held.earlier) {
+            (Fate::Served(result), _) => (Some(result), None),
+            (Fate::MayHaveRun(sent), earlier) => {
+                (None, Some(earlier.map_or(sent, |earlier| earlier.and(sent))))
+            }
+            // This try never ran, but the earlier one may have.
+            (Fate::NeverRan, Some(earlier)) => (None, Some(earlier)),
+            (Fate::NeverRan, None) => {
+                self.bytes -= OVERHEAD + id.len();
+                leave(&mut self.members, member);
+                return;
+            }
+        };
+        self.keep(now, id, Settled { print: held.print, at: now, result, sent });
+    }
+
+    fn keep(&mut self, now: Time, id: Id, mut settled: Settled) {
+        if let Some(result) = &settled.result {
+            let size = result.len();
+            if size > self.bounds.result || !self.fits(now, 0, size) {
+                self.counts.results_dropped += 1;
+                settled.result = None;
+            } else {
+                self.bytes += size;
+            }
+        }
+        self.settled += 1;
+        let class = &mut self.classes[class_of(&id) as usize];
+        let lane = if settled.sent.is_some() { &mut class.uncertain } else { &mut class.served };
+        if let Some(before) = lane.insert(id, settled) {
+            // It was held already: a snapshot with a key twice.
+            self.settled -= 1;
+            self.bytes -= before.result.map_or(0, |result| result.len());
+        }
+    }
+
+    /// Whether there is room for so many more entries and bytes, once what may go has gone.
+    fn fits(&mut self, now: Time, entries: usize, bytes: usize) -> bool {
+        for _ in 0..STRIDE {
+            if self.len() + entries <= self.bounds.entries && self.bytes + bytes <= self.bounds.bytes {
+                return true;
+            }
+            if !self.drop_oldest(now) {
+                return false;
+            }
+        }
+        self.len() + entries <= self.bounds.entries && self.bytes + bytes <= self.bounds.bytes
+    }
+
+    /// When a newcomer that finds no room may come back.
+    fn no_room(&mut self, now: Time, member: Member, need: usize) -> Option<Span> {
+        self.expire(now, 2);
+        let held = |store: &Store| store.members.get(&member).copied().unwrap_or(0);
+        if held(self) >= self.bounds.member {
+            self.expire(now, STRIDE);
+            if held(self) >= self.bounds.member {
+                self.counts.member_full += 1;
+                return Some(self.wait(now));
+            }
+        }
+        if !self.fits(now, 1, need) {
+            self.counts.full += 1;
+            return Some(self.wait(now));
+        }
+        None
+    }
+
+    /// Until the oldest settled key is outside its window.
+    fn wait(&self, now: Time) -> Span {
+        let ends = self.classes.iter().flat_map(|class| {
+            let fronts = [class.served.front(), class.uncertain.front()];
+            fronts.into_iter().flatten().map(|(_, held)| held.at + class.rule.window)
+        });
+        let left = ends.min().map_or(Span(0), |end| end - now);
+        if left.0 == 0 { self.bounds.hold_off } else { left }
+    }
+
+    /// Drops what nobody may ask for any more, so many at the most; how many it was.
+    pub fn expire(&mut self, now: Time, most: usize) -> usize {
+        let mut dropped = 0;
+        for class in &mut self.classes {
+            let Rule { window, keep } = class.rule;
+            for (lane, kept) in [(&mut class.served, window), (&mut class.uncertain, keep)] {
+                while dropped < most && lane.front().is_some_and(|(_, held)| held.at + kept <= now) {
+                    let (id, held) = lane.pop_front().expect("looked at above");
+                    self.settled -= 1;
+                    uncount(&mut self.bytes, &mut self.members, &id, &held);
+                    dropped += 1;
+                }
+            }
+        }
+        dropped
+    }
+
+    /// Drops the settled key whose window ended first; none is inside its window.
+    fn drop_oldest(&mut self, now: Time) -> bool {
+        let ends = self.classes.iter().enumerate().flat_map(|(number, class)| {
+            let fronts = [class.served.front(), class.uncertain.front()];
+            let end = move |(_, held): (&Id, &Settled)| held.at + class.rule.window;
+            fronts.into_iter().enumerate().filter_map(move |(l, f)| f.map(|f| (end(f), number, l)))
+        });
+        let Some((_, number, lane)) = ends.filter(|(end, ..)| *end <= now).min() else { return false };
+        let class = &mut self.classes[number];
+        let lane = if lane == 0 { &mut class.served } else { &mut class.uncertain };
+        let (id, held) = lane.pop_front().expect("its front was looked at");
+        self.settled -= 1;
+        if held.sent.is_some() {
+            self.counts.forgotten += 1;
+        }
+        uncount(&mut self.bytes, &mut self.members, &id, &held);
+        true
+    }
+
+    /// All that a successor should know, oldest first. What is under way may have been sent since anywhere
+    /// that `sent` does not tell of.
+    pub fn records(&self, now: Time, sent: impl Fn(Run) -> Option<Sent>) -> Vec<Record> {
+        let record = |id: &Id, print, at, fate| {
+            let (member, class) = (member_of(id), class_of(id));
+            Record { member, class, key: id[8..].to_vec(), print, at, fate }
+        };
+        let mut all = Vec::with_capacity(self.len());
+        for class in &self.classes {
+            for (id, held) in class.served.iter().chain(&class.uncertain) {
+                let fate = match (&held.sent, &held.result) {
+                    (Some(sent), _) => Fate::MayHaveRun(*sent),
+                    (None, Some(result)) => Fate::Served(result.clone()),
+                    // Without its result it is as good as spent: a repeat must not run.
+                    (None, None) => Fate::MayHaveRun(Sent::once(None, held.at)),
+                };
+                all.push(record(id, held.print, held.at, fate));
+            }
+        }
+        for (id, held) in &self.under_way {
+            let unknown = Sent::once(None, now);
+            let sent = match (held.earlier, sent(held.run)) {
+                (Some(earlier), Some(sent)) => earlier.and(sent),
+                (earlier, sent) => earlier.or(sent).unwrap_or(unknown),
+            };
+            all.push(record(id, held.print, now, Fate::MayHaveRun(sent)));
+        }
+        all.sort_by_key(|record| record.at);
+        all
+    }
+
+    /// Takes a predecessor's records, oldest first. Those that have expired, or are of a class that there
+    /// is not, are passed over; where there is no room for all, the oldest are. How many were taken.
+    pub fn restore(&mut self, now: Time, mut records: Vec<Record>) -> usize {
+        records.sort_by_key(|record| record.at);
+        let mut taken = 0;
+        let room = self.bounds.entries.saturating_sub(self.len());
+        let skip = records.len().saturating_sub(room);
+        for record in records.into_iter().skip(skip) {
+            let Some(rule) = self.classes.get(record.class as usize).map(|class| class.rule) else {
+                continue;
+            };
+            // A clock that was set back must not make a key last for ever.
+            let at = record.at.min(now);
+            let kept = if matches!(record.fate, Fate::Served(_)) { rule.window } else { rule.keep };
+            let key = record.key.as_slice();
+            if at + kept <= now || key.is_empty() || key.len() > self.bounds.key {
+                continue;
+            }
+            let (result, sent) = match record.fate {
+                Fate::Served(result) => (Some(result), None),
+                Fate::MayHaveRun(sent) => (None, Some(sent)),
+                Fate::NeverRan => continue,
+            };
+            identity(&mut self.scratch, record.member, record.class, key);
+            let need = OVERHEAD + self.scratch.len();
+            if self.bytes + need > self.bounds.bytes || self.under_way.contains_key(self.scratch.as_slice()) {
+                continue;
+            }
+            let known = self.classes[record.class as usize].served.contains_key(self.scratch.as_slice())
+                || self.classes[record.class as usize].uncertain.contains_key(self.scratch.as_slice());
+            if known {
+                continue;
+            }
+            self.bytes += need;
+            *self.members.entry(record.member).or_default() += 1;
+            let id: Id = self.scratch.as_slice().into();
+            self.keep(now, id, Settled { print: record.print, at, result, sent });
+            taken += 1;
+        }
+        taken
+    }
+}
+
+fn identity(into: &mut Vec<u8>, member: Member, class: u32, key: &[u8]) {
+    into.clear();
+    into.extend_from_slice(&member.0.to_le_bytes());
+    into.extend_from_slice(&class.to_le_bytes());
+    into.extend_from_slice(key);
+}
+
+fn member_of(id: &Id) -> Member {
+    Member(u32::from_le_bytes([id[0], id[1], id[2], id[3]]))
+}
+
+fn class_of(id: &Id) -> u32 {
+    u32::from_le_bytes([id[4], id[5], id[6], id[7]])
+}
+
+fn leave(members: &mut HashMap<Member, usize, Hash>, member: Member) {
+    if let Some(count) = members.get_mut(&member) {
+        *count -= 1;
+        if *count == 0 {
+            members.remove(&member);
+        }
+    }
+}
+
+fn uncount(bytes: &mut usize, members: &mut HashMap<Member, usize, Hash>, id: &Id, held: &Settled) {
+    *bytes -= OVERHEAD + id.len() + held.result.as_ref().map_or(0, Bytes::len);
+    leave(members, member_of(id));
+}
--- /dev/null
+++ b/keys/tests/cases.rs
@@ -0,0 +1,219 @@
+//! The hard cases of the store and its snapshot, each caused once and on purpose.
+
+use sablerun::{Span, Time};
+use sablerun_keys::{
+    Admission, Asked, Bounds, FORMAT, Fate, Fingerprint, Member, Names, Place, Rule, Run, Sent, Snapshot,
+    SnapshotError, Store,
+};
+
+const WINDOW: u64 = 10_000;
+
+fn store(entries: usize, member: usize) -> Store {
+    let bounds =
+        Bounds { entries, bytes: 1 << 30, result: 1 << 16, key: 1 << 16, member, hold_off: Span(250) };
+    Store::new(bounds, vec![Rule { window: Span(WINDOW), keep: Span(3 * WINDOW) }])
+}
+
+fn asked(member: u32, key: &[u8]) -> Asked<'_> {
+    Asked { member: Member(member), class: 0, key, print: Fingerprint([1; 16]), retry: false }
+}
+
+fn place(zone: u32) -> Option<Place> {
+    Some(Place { zone, cell: 0 })
+}
+
+#[test]
+fn a_surge_of_ten_times_its_size_loses_no_key_inside_its_window() {
+    let mut store = store(100, 100);
+    let (mut began, mut refused) = (Vec::new(), 0);
+    for n in 0..1000u32 {
+        let key = n.to_le_bytes();
+        match store.ask(Time(n.into()), &asked(0, &key), Run(n.into())) {
+            Admission::New => began.push(key),
+            Admission::Full(wait) => {
+                assert!(wait.0 > 0);
+                refused += 1;
+            }
+            other => panic!("{other:?}"),
+        }
+        if n % 3 == 0 {
+            let key = began[began.len() - 1];
+            store.settle(Time(n.into()), Member(0), 0, &key, Fate::Served("r".into()));
+        }
+    }
+    assert_eq!((began.len(), refused), (100, 900));
+    assert_eq!(store.counts().member_full + store.counts().full, 900);
+    for key in &began {
+        let again = store.ask(Time(1000), &asked(0, key), Run(9999));
+        assert!(matches!(again, Admission::Join(_) | Admission::HandBack(_)), "{again:?}");
+    }
+    // Once windows have ended the oldest go and newcomers come in.
+    assert_eq!(store.ask(Time(WINDOW + 1000), &asked(0, b"new"), Run(1)), Admission::New);
+}
+
+#[test]
+fn a_full_store_says_when_its_oldest_key_may_go() {
+    let mut store = store(1, 1);
+    assert_eq!(store.ask(Time(0), &asked(0, b"a"), Run(1)), Admission::New);
+    // Nothing settled: nobody knows when.
+    assert_eq!(store.ask(Time(5), &asked(0, b"b"), Run(2)), Admission::Full(Span(250)));
+    store.settle(Time(10), Member(0), 0, b"a", Fate::Served("r".into()));
+    assert_eq!(store.ask(Time(20), &asked(0, b"b"), Run(2)), Admission::Full(Span(WINDOW - 10)));
+    assert_eq!(store.ask(Time(WINDOW + 10), &asked(0, b"b"), Run(2)), Admission::New);
+}
+
+#[test]
+fn one_member_that_floods_leaves_room_to_the_others() {
+    let mut store = store(100, 60);
+    let flood = (0..1000u32)
+        .filter(|n| store.ask(Time(0), &asked(7, &n.to_le_bytes()), Run((*n).into())) == Admission::New);
+    assert_eq!(flood.count(), 60);
+    assert_eq!(store.counts().member_full, 940);
+    let other = (0..40u32)
+        .filter(|n| store.ask(Time(0), &asked(8, &n.to_le_bytes()), Run((*n).into())) == Admission::New);
+    assert_eq!(other.count(), 40, "the same keys, and none is another's");
+}
+
+#[test]
+fn what_may_have_run_goes_to_its_hall_and_after_the_window_nowhere() {
+    let mut store = store(10, 10);
+    store.ask(Time(0), &asked(0, b"k"), Run(1));
+    store.settle(Time(500), Member(0), 0, b"k", Fate::MayHaveRun(Sent::once(place(2), Time(100))));
+    let Admission::Again(sent) = store.ask(Time(600), &asked(0, b"k"), Run(2)) else { panic!() };
+    assert_eq!((sent.place, sent.first, sent.times), (place(2), Time(100), 1));
+    // The second try never ran; what the first may have done still binds.
+    store.settle(Time(700), Member(0), 0, b"k", Fate::NeverRan);
+    assert!(matches!(store.ask(Time(800), &asked(0, b"k"), Run(3)), Admission::Again(_)));
+    store.settle(Time(900), Member(0), 0, b"k", Fate::MayHaveRun(Sent::once(place(2), Time(850))));
+    // The window counts from the first sending, and ends while the key is still kept.
+    let end = 100 + WINDOW;
+    assert!(matches!(store.ask(Time(end - 1), &asked(0, b"k"), Run(4)), Admission::Again(s) if s.times == 2));
+    store.settle(Time(end - 1), Member(0), 0, b"k", Fate::NeverRan);
+    assert_eq!(store.ask(Time(end), &asked(0, b"k"), Run(5)), Admission::Spent);
+    assert_eq!(store.ask(Time(end - 1 + 3 * WINDOW), &asked(0, b"k"), Run(6)), Admission::New);
+}
+
+#[test]
+fn sendings_to_two_places_leave_no_place_for_a_repeat() {
+    let both = Sent::once(place(1), Time(5)).and(Sent::once(place(2), Time(6)));
+    assert_eq!((both.place, both.first, both.last, both.times), (None, Time(5), Time(6), 2));
+    let mut store = store(10, 10);
+    store.ask(Time(0), &asked(0, b"k"), Run(1));
+    store.settle(Time(7), Member(0), 0, b"k", Fate::MayHaveRun(both));
+    assert_eq!(store.ask(Time(8), &asked(0, b"k"), Run(2)), Admission::Spent);
+}
+
+#[test]
+fn a_result_that_is_too_large_is_not_kept_and_its_key_is() {
+    let mut store = store(10, 10);
+    store.ask(Time(0), &asked(0, b"k"), Run(1));
+    store.settle(Time(1), Member(0), 0, b"k", Fate::Served(vec![0; (1 << 16) + 1].into()));
+    assert_eq!(store.ask(Time(2), &asked(0, b"k"), Run(2)), Admission::NotKept);
+    assert_eq!(store.counts().results_dropped, 1);
+}
+
+#[test]
+fn keys_of_every_length_and_byte_are_told_apart() {
+    let mut store = store(10, 10);
+    let long = vec![b'x'; 1 << 16];
+    let keys: [&[u8]; 5] = [b"\0", b"\0\0", &[0xff, 0xfe, b'\r', b'\n'], "\u{1f9fa}".as_bytes(), &long];
+    for (n, key) in keys.iter().enumerate() {
+        assert_eq!(store.ask(Time(0), &asked(0, key), Run(n as u64)), Admission::New);
+    }
+    for (n, key) in keys.iter().enumerate() {
+        assert_eq!(store.ask(Time(0), &asked(0, key), Run(99)), Admission::Join(Run(n as u64)));
+    }
+    assert_eq!(store.ask(Time(0), &asked(0, b""), Run(9)), Admission::BadKey);
+    assert_eq!(store.ask(Time(0), &asked(0, &vec![0; (1 << 16) + 1]), Run(9)), Admission::BadKey);
+}
+
+/// Served, may have run, and under way with and without a sending.
+fn filled() -> Store {
+    let mut store = store(10, 10);
+    for (n, key) in [&b"served"[..], b"unsure", b"out", b"held"].into_iter().enumerate() {
+        assert_eq!(store.ask(Time(100), &asked(0, key), Run(n as u64)), Admission::New);
+    }
+    store.settle(Time(200), Member(0), 0, b"served", Fate::Served("result".into()));
+    store.settle(Time(300), Member(0), 0, b"unsure", Fate::MayHaveRun(Sent::once(place(1), Time(150))));
+    store
+}
+
+fn snapshot() -> Snapshot {
+    let out = |run| (run == Run(2)).then(|| Sent::once(place(0), Time(350)));
+    let names = Names {
+        members: vec!["mehran".into()],
+        classes: vec!["wave".into()],
+        zones: vec!["a".into(), "b".into(), "c".into()],
+    };
+    Snapshot { made: Time(400), last: false, names, records: filled().records(Time(400), out) }
+}
+
+#[test]
+fn a_snapshot_comes_back_as_it_was_with_age_counted() {
+    let read = Snapshot::decode(&snapshot().encode()).unwrap();
+    assert_eq!(read, snapshot());
+    // The successor numbers its zones otherwise.
+    let zone = |name: &str| Some(u32::from(name.as_bytes()[0] - b'a') + 5);
+    let records = read.renumbered(|_| Some(0), |_| Some(0), zone);
+    let mut store = store(10, 10);
+    assert_eq!(store.restore(Time(500), records.clone()), 4);
+    assert_eq!(store.ask(Time(600), &asked(0, b"served"), Run(1)), Admission::HandBack("result".into()));
+    let Admission::Again(sent) = store.ask(Time(600), &asked(0, b"unsure"), Run(2)) else { panic!() };
+    assert_eq!(sent.place, place(6));
+    let Admission::Again(sent) = store.ask(Time(600), &asked(0, b"out"), Run(3)) else { panic!() };
+    assert_eq!(sent.place, place(5));
+    assert_eq!(store.ask(Time(600), &asked(0, b"held"), Run(4)), Admission::Spent, "sent who knows where");
+    // Windows go on from where they were, not from the restart.
+    let mut late = self::store(10, 10);
+    late.restore(Time(200 + WINDOW), records.clone());
+    assert_eq!(late.ask(Time(200 + WINDOW), &asked(0, b"served"), Run(1)), Admission::New);
+    assert_eq!(late.ask(Time(200 + WINDOW), &asked(0, b"unsure"), Run(1)), Admission::Spent);
+    // A clock that was set back does not make them last for ever.
+    let mut back = self::store(10, 10);
+    back.restore(Time(50), records);
+    assert_eq!(back.ask(Time(50 + WINDOW), &asked(0, b"served"), Run(1)), Admission::New);
+}
+
+#[test]
+fn a_restore_that_does_not_fit_takes_the_newest() {
+    let mut small = store(2, 10);
+    assert_eq!(small.restore(Time(500), snapshot().records), 2);
+    assert_eq!(
+        small.ask(Time(500), &asked(0, b"out"), Run(1)),
+        Admission::Again(Sent::once(place(0), Time(350)))
+    );
+    assert_eq!(small.ask(Time(500), &asked(0, b"served"), Run(2)), Admission::Full(Span(WINDOW - 100)));
+}
+
+#[test]
+fn no_damaged_snapshot_is_ever_read() {
+    let good = snapshot().encode();
+    for length in 0..good.len() {
+        let cut = Snapshot::decode(&good[..length]);
+        assert!(matches!(cut, Err(SnapshotError::NotASnapshot | SnapshotError::Length(..))), "{length}");
+    }
+    for bit in 0..good.len() * 8 {
+        let mut bad = good.clone();
+        bad[bit / 8] ^= 1 << (bit % 8);
+        assert!(Snapshot::decode(&bad).is_err(), "bit {bit} turned, and read all the same");
+    }
+    let mut newer = good.clone();
+    newer[6] = (FORMAT + 1) as u8;
+    let error = Snapshot::decode(&newer).unwrap_err();
+    assert_eq!(error, SnapshotError::Version(FORMAT + 1));
+    assert_eq!(error.to_string(), "a snapshot of format 2; this program reads format 1 alone");
+    let longer = [&good[..], b"x"].concat();
+    assert!(matches!(Snapshot::decode(&longer), Err(SnapshotError::Length(..))));
+}
+
+/// A process that knows nothing of its predecessor can't tell where that sent a later try's first.
+#[test]
+fn soon_after_a_start_a_marked_later_try_of_an_unknown_key_fails() {
+    let mut store = store(10, 10);
+    store.doubt_until(Time(WINDOW));
+    let retry = |key| Asked { retry: true, ..asked(0, key) };
+    assert_eq!(store.ask(Time(1), &retry(b"k"), Run(1)), Admission::Unknown);
+    assert_eq!(store.ask(Time(1), &asked(0, b"l"), Run(1)), Admission::New);
+    assert_eq!(store.ask(Time(2), &retry(b"l"), Run(2)), Admission::Join(Run(1)));
+    assert_eq!(store.ask(Time(WINDOW), &retry(b"k"), Run(3)), Admission::New);
+}
