--- a/benchlink/src/host.rs
+++ b/benchlink/src/host.rs
@@ -144,6 +144,7 @@
                     memory: memory.unwrap_or(0.0),
                     estimate: sr::Span(estimate.unwrap_or(0)),
                     retry: repeat,
+                    prior: None,
                 });
                 (i, Some(event))
             }
--- a/keys/benches/store.rs
+++ b/keys/benches/store.rs
@@ -7,6 +7,7 @@
 use criterion::Criterion;
 use sablerun::{Span, Time};
 use sablerun_keys::{Admission, Asked, Bounds, Fate, Fingerprint, Member, Rule, Run, Store};
+use sha2::{Digest, Sha256};
 use std::hint::black_box;
 use std::time::{Duration, Instant};
 
@@ -80,6 +81,24 @@
         let least = (0..9).map(|_| round(&mut store, &mut next)).fold(f64::INFINITY, f64::min);
         figures.push((size, least, held as f64 / size as f64, counted as f64 / size as f64));
     }
+    // What a request with a new key pays, against one without: digest, entry, settling.
+    let (mut store, mut next) = filled(100_000);
+    let job = vec![b'x'; 212];
+    let added = |store: &mut Store, next: &mut u64| {
+        let begun = Instant::now();
+        for _ in 0..20_000 {
+            let digest =
+                Sha256::new().chain_update("/api?sid=7f3a9c21e0b4d655").chain_update(&job).finalize();
+            let print = Fingerprint(std::array::from_fn(|n| digest[n]));
+            let (key, now) = (key(*next), Time(*next));
+            black_box(store.ask(now, &Asked { print, ..asked(&key) }, Run(*next)));
+            store.settle(now, Member(1), 0, &key, Fate::Served(vec![7; RESULT].into()));
+            *next += 1;
+        }
+        begun.elapsed().as_nanos() as f64 / 20_000.0
+    };
+    let least = (0..9).map(|_| added(&mut store, &mut next)).fold(f64::INFINITY, f64::min);
+    println!("\nadded to a request with a new key, 212 bytes, 100000 keys held: {least:.0} ns (<= 2000)\n");
     let base = figures[0].1;
     println!(
         "{:>9}  {:>9}  {:>12}  {:>10}  {:>11}",
--- a/keys/src/store.rs
+++ b/keys/src/store.rs
@@ -42,6 +42,8 @@
 
 struct Class {
     rule: Rule,
+    /// Until when a later try may be of a request that a predecessor took.
+    doubt_until: Time,
     served: Lane,
     uncertain: Lane,
 }
@@ -72,8 +74,6 @@
     members: HashMap<Member, usize, Hash>,
     settled: usize,
     bytes: usize,
-    /// Until when a later try may be of a request that a predecessor took.
-    unknown_until: Time,
     counts: Counts,
     /// The identity being looked up.
     scratch: Vec<u8>,
@@ -85,7 +85,7 @@
         let lane = || LinkedHashMap::with_hasher(Hash::default());
         let class = |rule: Rule| {
             let rule = Rule { keep: rule.keep.max(rule.window), ..rule };
-            Class { rule, served: lane(), uncertain: lane() }
+            Class { rule, doubt_until: Time(0), served: lane(), uncertain: lane() }
         };
         Store {
             bounds,
@@ -94,15 +94,22 @@
             members: HashMap::default(),
             settled: 0,
             bytes: 0,
-            unknown_until: Time(0),
             counts: Counts::default(),
             scratch: Vec::new(),
         }
     }
 
-    /// Until then a marked later try under an unknown key fails: a predecessor may have sent it anywhere.
-    pub fn doubt_until(&mut self, until: Time) {
-        self.unknown_until = until;
+    /// Until then a class's marked later try under an unknown key fails: a predecessor may have sent it
+    /// anywhere.
+    pub fn doubt_until(&mut self, class: u32, until: Time) {
+        if let Some(class) = self.classes.get_mut(class as usize) {
+            class.doubt_until = until;
+        }
+    }
+
+    /// Whether a class is in doubt still: what a predecessor sent may be known to nobody.
+    pub fn in_doubt(&self, now: Time) -> bool {
+        self.classes.iter().any(|class| now < class.doubt_until)
     }
 
     /// Keys held.
@@ -110,6 +117,11 @@
         self.under_way.len() + self.settled
     }
 
+    /// Keys under way.
+    pub fn under_way(&self) -> usize {
+        self.under_way.len()
+    }
+
     /// Whether no key is held.
     pub fn is_empty(&self) -> bool {
         self.len() == 0
@@ -176,7 +188,7 @@
             self.under_way.insert(id, UnderWay { print: held.print, run, earlier: Some(sent) });
             return Admission::Again(sent);
         }
-        if asked.retry && now < self.unknown_until {
+        if asked.retry && now < class.doubt_until {
             self.counts.unknown += 1;
             return Admission::Unknown;
         }
@@ -344,7 +356,9 @@
             };
             all.push(record(id, held.print, now, Fate::MayHaveRun(sent)));
         }
-        all.sort_by_key(|record| record.at);
+        // In an order that does not hang on the tables' seeds.
+        let order = |r: &Record| (r.at, r.member, r.class);
+        all.sort_by(|a, b| order(a).cmp(&order(b)).then_with(|| a.key.cmp(&b.key)));
         all
     }
 
--- a/keys/tests/cases.rs
+++ b/keys/tests/cases.rs
@@ -210,7 +210,7 @@
 #[test]
 fn soon_after_a_start_a_marked_later_try_of_an_unknown_key_fails() {
     let mut store = store(10, 10);
-    store.doubt_until(Time(WINDOW));
+    store.doubt_until(0, Time(WINDOW));
     let retry = |key| Asked { retry: true, ..asked(0, key) };
     assert_eq!(store.ask(Time(1), &retry(b"k"), Run(1)), Admission::Unknown);
     assert_eq!(store.ask(Time(1), &asked(0, b"l"), Run(1)), Admission::New);
--- a/keys/tests/model.rs
+++ b/keys/tests/model.rs
@@ -99,7 +99,8 @@
             hold_off: Span(17),
         };
         let mut store = Store::new(bounds, vec![rule(0), rule(1)]);
-        store.doubt_until(Time(1100));
+        store.doubt_until(0, Time(1100));
+        store.doubt_until(1, Time(1100));
         World { store, now: 1000, runs: 0, entries: Vec::new(), refused: 0 }
     }
 
--- a/node/src/core.rs
+++ b/node/src/core.rs
@@ -6,6 +6,7 @@
 
 use bytes::Bytes;
 use sablerun as sr;
+use sablerun_keys as keys;
 use sablerun_settings::Tables;
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap, HashMap, VecDeque};
@@ -42,9 +43,18 @@
     pub memory: f64,
     pub estimate: sr::Span,
     pub retry: bool,
+    /// The client's key, where keys are kept for its class.
+    pub key: Option<Key>,
     pub job: J,
 }
 
+/// A client's key for a request, and what it stands for.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Key {
+    pub text: Rc<str>,
+    pub print: keys::Fingerprint,
+}
+
 /// Who tells of runners: a whole list from one source says nothing of the others' runners.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub enum Source {
@@ -74,6 +84,8 @@
     Refused(sr::Span),
     /// Nothing is promised.
     Failed(&'static str),
+    /// It was never taken: the client can't mean this.
+    Unfit(&'static str),
 }
 
 /// How an attempt ended, as a link saw it.
@@ -168,13 +180,28 @@
 struct Attempt {
     runner: u32,
     live: bool,
+    sent: sr::Time,
+    /// Nothing proves that it never ran.
+    may_have_run: bool,
+}
+
+/// A key that is under way with a request.
+struct Held {
+    member: keys::Member,
+    text: Rc<str>,
 }
 
 struct Request<J> {
-    ticket: Ticket,
+    /// Who waits for its answer, and for how long: its client, and those of repeats that joined.
+    waiting: Vec<(Ticket, sr::Time)>,
     id: Rc<str>,
+    class: u32,
+    /// The last one's.
     deadline: sr::Time,
     job: J,
+    key: Option<Held>,
+    /// An earlier try of it may have run.
+    bound: bool,
     answered: bool,
     attempts: Vec<Attempt>,
 }
@@ -188,6 +215,8 @@
     pub failed: u64,
     pub left: u64,
     pub attempts: u64,
+    /// Answered with a word that the client can't mean this.
+    pub unfit: u64,
 }
 
 /// The dispatcher's state.
@@ -207,6 +236,15 @@
     timers_set: u64,
     /// When the program ends, once it is told so.
     stop: Option<sr::Time>,
+    /// The clients' keys, where they are kept.
+    keys: Option<keys::Store>,
+    /// Where a repeat of a class is dropped, by class; `None` where it may not be repeated at all.
+    groups: Vec<Option<sr::Group>>,
+    /// Whether a repeat of a class may do harm, by class.
+    harmful: Vec<bool>,
+    /// Where runners stand, by number.
+    places: HashMap<u32, keys::Place>,
+    most_hold_off: sr::Span,
     /// What each source last said of its runners.
     lists: BTreeMap<(Source, u32), sr::ListEntry>,
     /// Events for the module that its own actions brought about.
@@ -231,7 +269,16 @@
         most: usize,
     ) -> Result<Core<J>, sr::SettingsError> {
         let shortest = settings.classes.iter().map(|class| class.objective).min();
+        let group = |class: &sr::Class| match class.effect {
+            sr::Effect::Keyed(group) => Some(group),
+            sr::Effect::Safe | sr::Effect::Unsafe => None,
+        };
         Ok(Core {
+            keys: None,
+            groups: settings.classes.iter().map(group).collect(),
+            harmful: settings.classes.iter().map(|class| class.effect != sr::Effect::Safe).collect(),
+            places: HashMap::new(),
+            most_hold_off: settings.max_hold_off,
             hold_off: settings.max_hold_off.min(shortest.unwrap_or_default()),
             balancer: sr::Balancer::new(settings, seed, now)?,
             tables,
@@ -252,6 +299,26 @@
         })
     }
 
+    /// Keeps clients' keys from now on.
+    pub fn keep_keys(&mut self, store: keys::Store) {
+        self.keys = Some(store);
+    }
+
+    /// Whether a client's key counts for this class: where a repeat may do harm.
+    pub fn wants_key(&self, class: u32) -> bool {
+        self.keys.is_some() && self.harmful.get(class as usize).copied().unwrap_or(false)
+    }
+
+    /// The keys, where they are kept.
+    pub fn keys(&self) -> Option<&keys::Store> {
+        self.keys.as_ref()
+    }
+
+    /// Where a request under way may have run so far; for a snapshot of the keys.
+    pub fn sent(&self, run: keys::Run) -> Option<keys::Sent> {
+        self.requests.get(&(run.0 as u32)).and_then(|request| self.sent_of(request))
+    }
+
     /// The name tables, for fronts that check what clients name.
     pub fn tables(&self) -> &Tables {
         &self.tables
@@ -276,14 +343,7 @@
     pub fn step(&mut self, now: sr::Time, input: Input<J>) -> Vec<Effect<J>> {
         match input {
             Input::Arrived(arrival) => self.arrived(now, arrival),
-            Input::ClientGone(ticket) => {
-                if let Some(&request) = self.tickets.get(&ticket) {
-                    self.tally.left += 1;
-                    self.answered(request);
-                    self.tell(now, sr::Event::Closed(sr::RequestId(request)));
-                    self.forget(request);
-                }
-            }
+            Input::ClientGone(ticket) => self.client_gone(now, ticket),
             Input::Started { id, from } => self.noted(now, &id, &from, sr::Note::Started),
             Input::Progress { id, from, share } => self.noted(now, &id, &from, sr::Note::Progress(share)),
             Input::Told { id, from, ending } => {
@@ -319,26 +379,68 @@
 
     fn arrived(&mut self, now: sr::Time, arrival: Arrival<J>) {
         self.tally.taken += 1;
-        let Arrival { ticket, id, class, tenant, deadline, slots, memory, estimate, retry, job } = arrival;
+        let Arrival { ticket, id, class, tenant, deadline, slots, memory, estimate, retry, key, job } =
+            arrival;
         if self.tickets.len() >= self.most {
             // Nothing of it has run: a refusal is safe for every class.
-            self.tally.refused += 1;
-            self.effects.push(Effect::Answer(ticket, Answer::Refused(self.hold_off)));
-            return;
+            return self.at_once(ticket, Answer::Refused(self.hold_off));
         }
         // Runners tell requests apart by their ids: a second one under a live id can't be sent.
-        if self.ids.contains_key(&id) {
-            self.tally.failed += 1;
-            self.effects.push(Effect::Answer(ticket, Answer::Failed("a request with this id is under way")));
-            return;
+        let twin = self.ids.get(&id).and_then(|twin| self.requests.get(twin));
+        let same_key = |twin: &Request<J>| match (&twin.key, &key) {
+            (Some(held), Some(key)) => held.text == key.text && !twin.answered,
+            _ => false,
+        };
+        if twin.is_some_and(|twin| !same_key(twin)) {
+            return self.at_once(ticket, Answer::Failed("a request with this id is under way"));
         }
         // Nobody answers after the end.
         let deadline = self.stop.map_or(deadline, |stop| deadline.min(stop));
         let number = self.next;
+        let member = tenant.map_or(keys::Member::NONE, keys::Member);
+        let mut prior = None;
+        if let (Some(store), Some(key)) = (&mut self.keys, &key) {
+            let asked = keys::Asked { member, class, key: key.text.as_bytes(), print: key.print, retry };
+            match store.ask(now, &asked, keys::Run(number.into())) {
+                keys::Admission::New => {}
+                keys::Admission::Again(sent) => {
+                    let place = sent.place.unwrap_or(keys::Place { zone: u32::MAX, cell: 0 });
+                    prior = Some(sr::Prior { zone: place.zone(), cell: place.cell, sent: sent.first });
+                }
+                keys::Admission::Join(run) => return self.join(now, run.0 as u32, ticket, deadline),
+                keys::Admission::HandBack(result) => return self.at_once(ticket, Answer::Served(result)),
+                keys::Admission::Full(wait) => {
+                    return self.at_once(ticket, Answer::Refused(wait.min(self.most_hold_off)));
+                }
+                keys::Admission::Spent => {
+                    let why = "an earlier try under this key may have run, and a repeat could run again";
+                    return self.at_once(ticket, Answer::Failed(why));
+                }
+                keys::Admission::NotKept => {
+                    let why = "an earlier try under this key was served, but its result was not kept";
+                    return self.at_once(ticket, Answer::Failed(why));
+                }
+                keys::Admission::Unknown => {
+                    let why = "an earlier try may have run before this dispatcher started";
+                    return self.at_once(ticket, Answer::Failed(why));
+                }
+                keys::Admission::Conflict => {
+                    let why = "the idempotency key stands for another request: its path or body differs";
+                    return self.at_once(ticket, Answer::Unfit(why));
+                }
+                keys::Admission::BadKey => {
+                    let why = "the idempotency key is empty or too long";
+                    return self.at_once(ticket, Answer::Unfit(why));
+                }
+            }
+        }
         self.next = self.next.wrapping_add(1);
         self.ids.insert(id.clone(), number);
         self.tickets.insert(ticket, number);
-        let request = Request { ticket, id, deadline, job, answered: false, attempts: Vec::new() };
+        let key = key.filter(|_| self.keys.is_some()).map(|key| Held { member, text: key.text });
+        let (waiting, attempts) = (vec![(ticket, deadline)], Vec::new());
+        let (bound, answered) = (prior.is_some(), false);
+        let request = Request { waiting, id, class, deadline, job, key, bound, answered, attempts };
         self.requests.insert(number, request);
         self.set_timer(deadline, Timer::Deadline(number));
         let arrival = sr::Arrival {
@@ -350,10 +452,72 @@
             memory,
             estimate,
             retry,
+            prior,
         };
         self.tell(now, sr::Event::Arrival(arrival));
     }
 
+    /// Answers a ticket that never waited.
+    fn at_once(&mut self, ticket: Ticket, answer: Answer) {
+        self.count(&answer);
+        self.effects.push(Effect::Answer(ticket, answer));
+    }
+
+    fn count(&mut self, answer: &Answer) {
+        match answer {
+            Answer::Served(_) => self.tally.served += 1,
+            Answer::Refused(_) => self.tally.refused += 1,
+            Answer::Failed(_) => self.tally.failed += 1,
+            Answer::Unfit(_) => self.tally.unfit += 1,
+        }
+    }
+
+    /// A repeat waits for the answer of the request under way, each client by its own deadline.
+    fn join(&mut self, now: sr::Time, request: u32, ticket: Ticket, deadline: sr::Time) {
+        let Some(held) = self.requests.get_mut(&request).filter(|held| !held.answered) else {
+            // A key is under way only with a request that is not answered: this is for nobody to meet.
+            return self.at_once(ticket, Answer::Failed("an earlier try under this key has just ended"));
+        };
+        held.waiting.push((ticket, deadline));
+        let later = deadline > held.deadline;
+        held.deadline = held.deadline.max(deadline);
+        self.tickets.insert(ticket, request);
+        self.set_timer(deadline, Timer::Deadline(request));
+        if later {
+            self.tell(now, sr::Event::Extended(sr::RequestId(request), deadline));
+        }
+    }
+
+    /// A client has left: its request goes on while others wait for it.
+    fn client_gone(&mut self, now: sr::Time, ticket: Ticket) {
+        let Some(request) = self.tickets.remove(&ticket) else { return };
+        self.tally.left += 1;
+        let Some(held) = self.requests.get_mut(&request) else { return };
+        held.waiting.retain(|(waiting, _)| *waiting != ticket);
+        if held.waiting.is_empty() {
+            self.answered(now, request, None);
+            self.tell(now, sr::Event::Closed(sr::RequestId(request)));
+            self.forget(request);
+        }
+    }
+
+    /// The sendings of a request that may have run.
+    fn sent_of(&self, request: &Request<J>) -> Option<keys::Sent> {
+        let ran = request.attempts.iter().filter(|attempt| attempt.may_have_run);
+        let sent = ran.map(|attempt| {
+            let place = self.places.get(&attempt.runner).copied().map(|place| {
+                // Only as much of it as tells halls apart that drop a repeat for each other.
+                match self.groups[request.class as usize] {
+                    Some(sr::Group::All) => keys::Place { zone: 0, cell: 0 },
+                    Some(sr::Group::Zone) => keys::Place { cell: 0, ..place },
+                    Some(sr::Group::Cell) | None => place,
+                }
+            });
+            keys::Sent::once(place, attempt.sent)
+        });
+        sent.reduce(keys::Sent::and)
+    }
+
     /// The live attempt that a runner's word is about. Guards against words that are late, repeated or
     /// about an attempt given up: id and name must both match one that is still out.
     fn live(&self, id: &str, from: &str) -> Option<AttemptId> {
@@ -373,10 +537,10 @@
         let request = self.requests.get_mut(&attempt.request);
         let out = request.and_then(|r| r.attempts.get_mut(attempt.number as usize));
         let Some(out) = out.filter(|a| a.live) else { return };
-        out.live = false;
+        (out.live, out.may_have_run) = (false, !ending.outcome.never_ran());
         self.effects.push(Effect::Over(attempt));
         if ending.outcome == sr::Outcome::Ok {
-            self.answer(attempt.request, Answer::Served(ending.result));
+            self.answer(now, attempt.request, Answer::Served(ending.result));
         }
         let closed = self.requests[&attempt.request].answered;
         self.tell(
@@ -400,28 +564,37 @@
         let Some(out) = out.filter(|a| a.live) else { return };
         out.live = false;
         self.effects.push(Effect::Over(attempt));
-        self.answer(attempt.request, Answer::Failed("the runner can't use the request"));
+        self.answer(now, attempt.request, Answer::Failed("the runner can't use the request"));
         self.end_for_module(attempt.request, attempt.number, sr::Outcome::Moot);
         self.tell_events(now);
         self.forget(attempt.request);
     }
 
-    /// Gives the final answer, unless there has been one.
-    fn answer(&mut self, request: u32, answer: Answer) {
-        let Some(held) = self.requests.get(&request).filter(|r| !r.answered) else { return };
-        match answer {
-            Answer::Served(_) => self.tally.served += 1,
-            Answer::Refused(_) => self.tally.refused += 1,
-            Answer::Failed(_) => self.tally.failed += 1,
+    /// Gives the final answer to all who wait, unless there has been one.
+    fn answer(&mut self, now: sr::Time, request: u32, answer: Answer) {
+        let Some(held) = self.requests.get_mut(&request).filter(|r| !r.answered) else { return };
+        let waiting = std::mem::take(&mut held.waiting);
+        for (ticket, _) in waiting {
+            self.tickets.remove(&ticket);
+            self.at_once(ticket, answer.clone());
         }
-        self.effects.push(Effect::Answer(held.ticket, answer));
-        self.answered(request);
+        let result = if let Answer::Served(result) = answer { Some(result) } else { None };
+        self.answered(now, request, result);
     }
 
-    fn answered(&mut self, request: u32) {
-        if let Some(held) = self.requests.get_mut(&request) {
-            held.answered = true;
-            self.tickets.remove(&held.ticket);
+    /// Nobody waits any more; what is known of the key is kept.
+    fn answered(&mut self, now: sr::Time, request: u32, result: Option<Bytes>) {
+        let Some(held) = self.requests.get_mut(&request) else { return };
+        held.answered = true;
+        let Some(key) = held.key.take() else { return };
+        let held = &self.requests[&request];
+        let fate = match (result, self.sent_of(held)) {
+            (Some(result), _) => keys::Fate::Served(result),
+            (None, Some(sent)) => keys::Fate::MayHaveRun(sent),
+            (None, None) => keys::Fate::NeverRan,
+        };
+        if let Some(store) = &mut self.keys {
+            store.settle(now, key.member, held.class, key.text.as_bytes(), fate);
         }
     }
 
@@ -436,9 +609,12 @@
     fn list(&mut self, now: sr::Time, source: Source, kind: sr::ListKind, listed: Vec<Listed>) {
         let mut changed: Vec<sr::ListEntry> = Vec::with_capacity(listed.len());
         for runner in listed {
+            let worker = self.tables.workers.number(&runner.name);
+            let zone = self.tables.zones.number(&runner.zone);
+            self.places.insert(worker, keys::Place { zone, cell: runner.cell });
             changed.push(sr::ListEntry {
-                worker: sr::WorkerId(self.tables.workers.number(&runner.name)),
-                zone: sr::ZoneId(self.tables.zones.number(&runner.zone)),
+                worker: sr::WorkerId(worker),
+                zone: sr::ZoneId(zone),
                 kind: sr::KindId(self.tables.kinds.number(&runner.kind)),
                 cell: runner.cell,
                 standing: runner.standing,
@@ -481,11 +657,11 @@
         for timer in due {
             match timer {
                 Timer::Module(token) => self.tell(now, sr::Event::Timer(token)),
-                Timer::Deadline(request) => self.overdue(now, request),
+                Timer::Deadline(request) => self.overdue(now, request, false),
                 Timer::Stop => {
                     let mut open: Vec<u32> = self.requests.keys().copied().collect();
                     open.sort_unstable();
-                    open.into_iter().for_each(|request| self.overdue(now, request));
+                    open.into_iter().for_each(|request| self.overdue(now, request, true));
                 }
             }
         }
@@ -494,14 +670,24 @@
     /// The client's deadline, or the program's end: whatever the module says, the client hears now, and
     /// what is still out has timed out. The answer comes first: the module must not try again on a
     /// time-out that it hears of here.
-    fn overdue(&mut self, now: sr::Time, request: u32) {
-        if let Some(held) = self.requests.get(&request).filter(|r| !r.answered) {
+    fn overdue(&mut self, now: sr::Time, request: u32, stopped: bool) {
+        if let Some(held) = self.requests.get_mut(&request).filter(|r| !r.answered) {
             // What was never sent can be tried again by any class.
-            let answer = match held.attempts.is_empty() {
+            let answer = match held.attempts.is_empty() && !held.bound {
                 true => Answer::Refused(self.hold_off),
                 false => Answer::Failed("not done by the deadline"),
             };
-            self.answer(request, answer);
+            let ends = |(_, deadline): &mut (Ticket, sr::Time)| *deadline <= now || stopped;
+            let due: Vec<_> = held.waiting.extract_if(.., ends).collect();
+            let others = !held.waiting.is_empty();
+            for (ticket, _) in due {
+                self.tickets.remove(&ticket);
+                self.at_once(ticket, answer.clone());
+            }
+            if others {
+                return;
+            }
+            self.answered(now, request, None);
             self.tell(now, sr::Event::Closed(sr::RequestId(request)));
         }
         let Some(held) = self.requests.get_mut(&request) else { return };
@@ -529,15 +715,15 @@
             let mut actions = std::mem::take(&mut self.actions);
             self.balancer.handle(now, event, &mut actions);
             for action in actions.drain(..) {
-                self.act(action);
+                self.act(now, action);
             }
             self.actions = actions;
         }
     }
 
-    fn act(&mut self, action: sr::Action) {
+    fn act(&mut self, now: sr::Time, action: sr::Action) {
         match action {
-            sr::Action::Send(id, worker) => self.start(id.0, worker.0),
+            sr::Action::Send(id, worker) => self.start(now, id.0, worker.0),
             sr::Action::Cancel(id, number) => {
                 let request = self.requests.get_mut(&id.0);
                 let attempt = request.and_then(|r| r.attempts.get_mut(number as usize));
@@ -549,11 +735,11 @@
                 }
             }
             sr::Action::Refuse(id, hold_off) => {
-                self.answer(id.0, Answer::Refused(hold_off));
+                self.answer(now, id.0, Answer::Refused(hold_off));
                 self.forget(id.0);
             }
             sr::Action::Fail(id) => {
-                self.answer(id.0, Answer::Failed("no attempt was answered in time"));
+                self.answer(now, id.0, Answer::Failed("no attempt was answered in time"));
                 self.forget(id.0);
             }
             sr::Action::Timer(at, token) => self.set_timer(at, Timer::Module(token)),
@@ -568,7 +754,7 @@
         }
     }
 
-    fn start(&mut self, request: u32, runner: u32) {
+    fn start(&mut self, now: sr::Time, request: u32, runner: u32) {
         let Some(held) = self.requests.get_mut(&request) else {
             self.end_for_module(request, 0, sr::Outcome::Moot);
             return;
@@ -577,7 +763,7 @@
         // A runner gets one attempt of a request at a time.
         let there = held.attempts.iter().any(|a| a.live && a.runner == runner);
         let moot = there || held.answered;
-        held.attempts.push(Attempt { runner, live: !moot });
+        held.attempts.push(Attempt { runner, live: !moot, sent: now, may_have_run: !moot });
         if moot {
             self.end_for_module(request, number, sr::Outcome::Moot);
             return;
--- a/node/src/core/model.rs
+++ b/node/src/core/model.rs
@@ -1,6 +1,8 @@
 //! Random steps against a model of what a client's connection and a runner's may be told: each
 //! request waits, is answered or left; each attempt is out or over. The model knows no decision, only
-//! the rules that every decision must keep.
+//! the rules that every decision must keep. Of keys it knows that a job which may have run never goes to
+//! a second zone, nor anywhere once its zone has forgotten it, and that only what was made under a key is
+//! handed back for it.
 
 use super::*;
 use proptest::prelude::*;
@@ -14,6 +16,8 @@
     Arrive {
         class: u32,
         patience_ms: u64,
+        key: Option<u8>,
+        retry: bool,
     },
     Leave(prop::sample::Index),
     Start(prop::sample::Index),
@@ -54,7 +58,8 @@
         sr::Standing::Gone,
     ]);
     prop_oneof![
-        5 => (0..3u32, 1..3000u64).prop_map(|(class, patience_ms)| Step::Arrive { class, patience_ms }),
+        5 => (0..3u32, 1..3000u64, prop::option::of(0..3u8), any::<bool>())
+            .prop_map(|(class, patience_ms, key, retry)| Step::Arrive { class, patience_ms, key, retry }),
         1 => index().prop_map(Step::Leave),
         3 => index().prop_map(Step::Start),
         6 => (index(), any::<bool>(), outcome).prop_map(|(of, told, outcome)| Step::End { of, told, outcome }),
@@ -79,12 +84,16 @@
     class: u32,
     deadline: sr::Time,
     client: Client,
+    key: Option<u8>,
+    /// Whose request its client waits for: its own, or the one that it joined.
+    lead: usize,
 }
 
 struct Tried {
     id: AttemptId,
     ticket: usize,
     runner: usize,
+    at: sr::Time,
     /// `None` while it is out; else whether it may have run.
     over: Option<bool>,
 }
@@ -98,8 +107,13 @@
     roster: SocketAddr,
     asked_for_list: usize,
     stop: Option<sr::Time>,
+    /// Requests that led a key and were settled: when, and whether they were served.
+    settled: HashMap<usize, (sr::Time, bool)>,
 }
 
+const WINDOW: sr::Span = sr::Span(4_000_000_000);
+const KEEP: sr::Span = sr::Span(9_000_000_000);
+
 fn roster(host: u8) -> SocketAddr {
     SocketAddr::from(([127, 0, 0, host], 8500))
 }
@@ -126,7 +140,7 @@
             worth: 1.0,
             late_worth: 0.0,
             effect,
-            window: sr::Span::from_secs(10.0),
+            window: WINDOW,
             kind: None,
         };
         let settings = sr::Settings {
@@ -142,11 +156,21 @@
         let (workers, zones, kinds, classes, tenants) = (names(), names(), names(), names(), names());
         let tables = Tables { workers, zones, kinds, classes, tenants, fields: Vec::new() };
         let now = sr::Time(1_000_000_000_000);
-        let core = Core::new(settings, tables, roster(1), seed, now, 20).unwrap();
+        let mut core = Core::new(settings, tables, roster(1), seed, now, 20).unwrap();
+        let bounds = keys::Bounds {
+            entries: 1000,
+            bytes: 1 << 20,
+            result: 100,
+            key: 100,
+            member: 1000,
+            hold_off: sr::Span(1),
+        };
+        core.keep_keys(keys::Store::new(bounds, vec![keys::Rule { window: WINDOW, keep: KEEP }; 3]));
         let standing = [sr::Standing::Ready; 4];
         let (asked, tried) = (Vec::new(), Vec::new());
         let (roster, asked_for_list, stop) = (roster(1), 0, None);
-        let mut world = World { core, now, asked, tried, standing, roster, asked_for_list, stop };
+        let settled = HashMap::new();
+        let mut world = World { core, now, asked, tried, standing, roster, asked_for_list, stop, settled };
         let all = (0..4).map(|runner| listed(runner, sr::Standing::Ready)).collect();
         world.input(Input::List(Source::Discovery, sr::ListKind::Saved, all), None);
         world
@@ -163,7 +187,8 @@
                     let runner: usize = runner[2..].parse().unwrap();
                     let asked = &self.asked[job];
                     assert_eq!(&*id, format!("r{job}"));
-                    assert_eq!(asked.client, Client::Waits, "an attempt for nobody");
+                    let waits = |a: &Asked| a.lead == job && a.client == Client::Waits;
+                    assert!(self.asked.iter().any(waits), "an attempt for nobody");
                     assert_eq!(
                         self.standing[runner],
                         sr::Standing::Ready,
@@ -182,7 +207,8 @@
                         sr::Effect::Unsafe => false,
                     });
                     assert!(allowed, "repeated further than its class permits");
-                    self.tried.push(Tried { id: attempt, ticket: job, runner, over: None });
+                    self.check_key(job, runner);
+                    self.tried.push(Tried { id: attempt, ticket: job, runner, at: self.now, over: None });
                 }
                 Effect::GiveUp(attempt) => self.over(attempt, true),
                 Effect::Over(attempt) => {
@@ -199,6 +225,32 @@
         }
     }
 
+    /// Whether a job under a key may go there, for all that was ever sent under that key.
+    fn check_key(&self, job: usize, runner: usize) {
+        let (class, key) = (self.asked[job].class, self.asked[job].key);
+        if key.is_none() || class == 0 {
+            return;
+        }
+        let same = |t: &&Tried| (self.asked[t.ticket].class, self.asked[t.ticket].key) == (class, key);
+        for earlier in self.tried.iter().filter(same).filter(|t| t.over != Some(false)) {
+            let forgotten = self
+                .settled
+                .get(&earlier.ticket)
+                .is_some_and(|(at, served)| self.now >= *at + if *served { WINDOW } else { KEEP });
+            let there = class == 1 && ZONES[earlier.runner] == ZONES[runner];
+            let known = there && self.now < earlier.at + WINDOW;
+            assert!(forgotten || known, "a repeat that may run a second time");
+        }
+    }
+
+    /// A client is answered or has left: its request is settled once nobody waits for it.
+    fn settle(&mut self, ticket: usize, served: bool) {
+        let lead = self.asked[ticket].lead;
+        if !self.asked.iter().any(|a| a.lead == lead && a.client == Client::Waits) {
+            self.settled.entry(lead).or_insert((self.now, served));
+        }
+    }
+
     fn over(&mut self, attempt: AttemptId, may_have_run: bool) {
         let tried = self.tried.iter_mut().find(|t| t.id == attempt).expect("it was begun");
         assert_eq!(tried.over, None, "an attempt ended twice");
@@ -208,18 +260,31 @@
     fn answered(&mut self, ticket: usize, answer: Answer, ends: Option<(usize, sr::Outcome)>) {
         assert_eq!(self.asked[ticket].client, Client::Waits, "a second answer, or one to nobody");
         self.asked[ticket].client = Client::Answered;
-        let mut tried = self.tried.iter().filter(|t| t.ticket == ticket);
+        self.settle(ticket, matches!(answer, Answer::Served(_)));
+        let (lead, class, key) = (self.asked[ticket].lead, self.asked[ticket].class, self.asked[ticket].key);
+        let mut tried = self.tried.iter().filter(|t| t.ticket == lead);
         match answer {
             Answer::Served(result) => {
-                let (ended, outcome) = ends.expect("a runner made the result");
-                assert_eq!((self.tried[ended].ticket, outcome), (ticket, sr::Outcome::Ok));
-                assert_eq!(result, format!("made of r{ticket}").as_bytes());
+                if let Some((ended, outcome)) = ends {
+                    assert_eq!((self.tried[ended].ticket, outcome), (lead, sr::Outcome::Ok));
+                    assert_eq!(result, format!("made of r{lead}").as_bytes());
+                    return;
+                }
+                assert!(key.is_some() && class > 0 && lead == ticket, "a result that no runner made");
+                let first = self.settled.iter().find(|(first, (at, served))| {
+                    let same = (self.asked[**first].class, self.asked[**first].key) == (class, key);
+                    same && *served
+                        && self.now < *at + WINDOW
+                        && result == format!("made of r{first}").as_bytes()
+                });
+                assert!(first.is_some(), "handed back what was not made under this key");
             }
             Answer::Refused(_) => {
                 let harmless = effects_of(self.asked[ticket].class) == sr::Effect::Safe;
                 assert!(harmless || tried.all(|t| t.over == Some(false)), "refused what may have run");
             }
             Answer::Failed(_) => {}
+            Answer::Unfit(_) => panic!("every key stands for one request"),
         }
     }
 
@@ -235,11 +300,18 @@
 
     fn take(&mut self, step: Step) {
         match step {
-            Step::Arrive { class, patience_ms } => {
+            Step::Arrive { class, patience_ms, key, retry } => {
                 let number = self.asked.len();
                 let deadline = self.now + sr::Span(patience_ms * 1_000_000);
                 let owed = self.stop.map_or(deadline, |stop| deadline.min(stop.max(self.now)));
-                self.asked.push(Asked { class, deadline: owed, client: Client::Waits });
+                let under_way = |a: &Asked| {
+                    class > 0
+                        && key.is_some()
+                        && (a.class, a.key) == (class, key)
+                        && a.client == Client::Waits
+                };
+                let lead = self.asked.iter().find(|a| under_way(a)).map_or(number, |a| a.lead);
+                self.asked.push(Asked { class, deadline: owed, client: Client::Waits, key, lead });
                 let arrival = Arrival {
                     ticket: Ticket(number as u64),
                     id: format!("r{number}").into(),
@@ -249,7 +321,11 @@
                     slots: 1.0,
                     memory: 0.0,
                     estimate: sr::Span(0),
-                    retry: false,
+                    retry,
+                    key: key.filter(|_| class > 0).map(|key| Key {
+                        text: format!("k{key}").into(),
+                        print: keys::Fingerprint([key; 16]),
+                    }),
                     job: number,
                 };
                 self.input(Input::Arrived(arrival), None);
@@ -258,6 +334,7 @@
                 let number = of.index(self.asked.len());
                 if self.asked[number].client == Client::Waits {
                     self.asked[number].client = Client::Left;
+                    self.settle(number, false);
                 }
                 self.input(Input::ClientGone(Ticket(number as u64)), None);
             }
@@ -290,7 +367,8 @@
                 let ends = over.is_none().then_some((number, sr::Outcome::Error));
                 self.input(Input::Unusable(id), ends);
                 if over.is_none() {
-                    assert_ne!(self.asked[ticket].client, Client::Waits, "tried on what nobody can use");
+                    let waits = |a: &Asked| a.lead == ticket && a.client == Client::Waits;
+                    assert!(!self.asked.iter().any(waits), "tried on what nobody can use");
                 }
             }
             Step::Stray { of, runner } if !self.asked.is_empty() => {
@@ -358,6 +436,7 @@
         assert!(world.asked.iter().all(|asked| asked.client != Client::Waits));
         assert!(world.tried.iter().all(|tried| tried.over.is_some()));
         assert_eq!((world.core.open(), world.core.requests.len(), world.core.ids.len()), (0, 0, 0));
+        assert_eq!(world.core.keys().unwrap().under_way(), 0, "a key under way with no request");
     }
 }
 
@@ -372,6 +451,26 @@
     let caller = vec![listed(1, sr::Standing::Ready)];
     world.input(Input::List(Source::Callers, sr::ListKind::Delta, caller), None);
     world.input(Input::List(Source::Discovery, sr::ListKind::Full, Vec::new()), None);
-    world.take(Step::Arrive { class: 0, patience_ms: 1000 });
+    world.take(Step::Arrive { class: 0, patience_ms: 1000, key: None, retry: false });
     assert_eq!(world.tried.len(), 1);
 }
+
+/// The first client's deadline is not the joined one's: the attempt goes on for whoever still waits.
+#[test]
+fn a_repeat_that_joined_is_served_after_the_first_clients_deadline() {
+    let mut world = World::new(1);
+    let arrive = |patience_ms| Step::Arrive { class: 1, patience_ms, key: Some(1), retry: false };
+    world.take(arrive(300));
+    let (id, from) = ("r0".to_owned(), name(world.tried[0].runner));
+    world.input(Input::Started { id: id.clone(), from: from.clone() }, None);
+    world.take(Step::Pass { ms: 200 });
+    world.take(arrive(2000));
+    assert_eq!((world.tried.len(), world.asked[1].lead), (1, 0));
+    world.take(Step::Pass { ms: 1000 });
+    assert_eq!(world.asked[0].client, Client::Answered, "by its own deadline");
+    assert_eq!(world.tried[0].over, None, "given up though somebody waits");
+    let ending = Ending { outcome: sr::Outcome::Ok, result: "made of r0".into(), report: None };
+    world.input(Input::Told { id, from, ending }, Some((0, sr::Outcome::Ok)));
+    assert_eq!(world.asked[1].client, Client::Answered);
+    assert_eq!(world.core.tally().served, 1);
+}
--- a/node/src/limits.rs
+++ b/node/src/limits.rs
@@ -2,6 +2,7 @@
 //! the machine states and the settings, and handed down; nothing else may hold such a figure, and
 //! nothing here changes while the program runs.
 
+use sablerun_keys as keys;
 use sablerun_settings::Env;
 use std::time::Duration;
 
@@ -66,9 +67,16 @@
     pub spell: Duration,
     /// Time after SIGTERM at which whatever is unanswered is answered, and the program ends.
     pub stop: Duration,
+    /// What the store of clients' keys may hold, where keys are kept.
+    pub keys: Option<keys::Bounds>,
 }
 
 impl Limits {
+    /// The same with a store of clients' keys.
+    pub fn with_keys(self, bounds: Option<keys::Bounds>) -> Limits {
+        Limits { keys: bounds, ..self }
+    }
+
     /// Limits for a machine with so many descriptors and so much memory, with the second front or without it.
     pub fn new(sockets: usize, memory_mb: usize, env: &Env, two_fronts: bool) -> Limits {
         // Standard streams, the runtime's own, the listeners, the watch and a call to discovery.
@@ -119,6 +127,7 @@
             // the last jobs to be done.
             spell: stop * 3 / 5,
             stop,
+            keys: None,
         }
     }
 }
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -1,22 +1,30 @@
 //! The dispatcher `sablerun`: reads what it is told, opens its sockets and runs until it is told to
 //! end. It owns the order of starting and stopping and must never decide or translate anything.
 
+mod cli;
 mod core;
 mod limits;
+mod logging;
 mod net;
+mod operator;
 mod runtime;
+mod snapshots;
 
+use crate::cli::{Cli, Command};
 use crate::core::{Core, Input};
 use crate::limits::Limits;
-use crate::net::faktory::{Faktory, Gateway};
+use crate::net::faktory::Faktory;
 use crate::net::{discovery, platform, runners};
+use crate::operator::Operator;
 use crate::runtime::{Clock, Runtime};
+use clap::Parser;
 use sablerun as sr;
+use sablerun_keys as keys;
 use sablerun_settings::Env;
 use serde_json::Value;
 use std::net::SocketAddr;
-use std::path::Path;
 use std::process::ExitCode;
+use std::rc::Rc;
 use tokio::signal::unix::{SignalKind, signal};
 
 /// What `$NODE_CONFIG` holds.
@@ -40,28 +48,46 @@
 }
 
 fn main() -> ExitCode {
-    let env = env_logger::Env::default().default_filter_or("info");
-    env_logger::Builder::from_env(env).format_timestamp_millis().init();
-    let told = read_gateway().and_then(|gateway| Ok((read_config()?, gateway)));
-    match told
-        .and_then(|((config, text), gateway)| actix_rt::System::new().block_on(run(config, text, gateway)))
-    {
+    let cli = Cli::parse();
+    let done = match cli.command.unwrap_or(Command::Run(cli.run)) {
+        Command::Run(args) => {
+            logging::start(args.log);
+            let operator = args.config.as_deref().map_or(Ok(Operator::default()), Operator::read);
+            let told = operator.and_then(|operator| Ok((read_config()?, operator)));
+            let done = told.and_then(|((config, text), operator)| {
+                actix_rt::System::new().block_on(run(config, text, operator))
+            });
+            return match done {
+                Ok(()) => ExitCode::SUCCESS,
+                Err(message) => {
+                    log::error!("{message}");
+                    ExitCode::FAILURE
+                }
+            };
+        }
+        Command::Check(args) => check(&args),
+        Command::Keys(args) => cli::keys(&args),
+    };
+    match done {
         Ok(()) => ExitCode::SUCCESS,
         Err(message) => {
-            log::error!("{message}");
+            eprintln!("sablerun: {message}");
             ExitCode::FAILURE
         }
     }
 }
 
-/// The operator's file, if one is named: it sets the second front up.
-fn read_gateway() -> Result<Option<Gateway>, String> {
-    let arguments: Vec<_> = std::env::args_os().skip(1).collect();
-    match arguments.as_slice() {
-        [] => Ok(None),
-        [flag, file] if flag == "--gateway" => Gateway::read(Path::new(file)).map(Some),
-        _ => Err("usage: sablerun [--gateway FILE]".to_owned()),
+/// Whether the program would start with these settings and this operator's file.
+fn check(args: &cli::Check) -> Result<(), String> {
+    let operator = args.config.as_deref().map(|path| Ok::<_, String>((path, Operator::read(path)?)));
+    let operator = operator.transpose()?;
+    let (config, _) = read_config()?;
+    let (_, tables) = config.settings.settle().map_err(|e| format!("NODE_CONFIG: settings: {e}"))?;
+    u64::from_str_radix(&config.seed, 16).map_err(|e| format!("NODE_CONFIG: seed: {e}"))?;
+    if let Some((path, operator)) = &operator {
+        operator.check(&tables, config.limits.memory_mb).map_err(|e| format!("{}: {e}", path.display()))?;
     }
+    cli::check(operator.as_ref().map(|(path, operator)| (*path, operator)), args.json)
 }
 
 /// What `$NODE_CONFIG` holds, and as it stands there.
@@ -97,21 +123,35 @@
     }
 }
 
-async fn run(config: Config, mut text: Value, gateway: Option<Gateway>) -> Result<(), String> {
+async fn run(config: Config, mut text: Value, operator: Operator) -> Result<(), String> {
     let (settings, tables) = config.settings.settle().map_err(|e| format!("NODE_CONFIG: settings: {e}"))?;
     let seed = u64::from_str_radix(&config.seed, 16).map_err(|e| format!("NODE_CONFIG: seed: {e}"))?;
     let machine = &config.limits;
+    operator.check(&tables, machine.memory_mb).map_err(|e| format!("--config: {e}"))?;
+    let Operator { faktory: gateway, keys: kept } = operator;
+    let bounds = kept.as_ref().map(|kept| kept.bounds(sr::Span::from_secs(0.25)));
     let limits = Limits::new(machine.sockets, machine.memory_mb, &config.settings, gateway.is_some());
-    if let Some(gateway) = &gateway {
-        gateway.check(&tables).map_err(|e| format!("--gateway: {e}"))?;
-    }
+    let limits = limits.with_keys(bounds);
+    let rules = kept.as_ref().map(|kept| settings.classes.iter().map(|class| kept.rule(class)).collect());
+    let doubts: Vec<_> = kept.iter().flat_map(|k| settings.classes.iter().map(|c| k.doubt(c))).collect();
+    let snapshot_file = kept.and_then(|kept| kept.snapshot);
     let deadlines = settings.classes.iter().map(|class| class.deadline).collect();
     let keyed = settings.classes.iter().map(|c| c.effect != sr::Effect::Safe).collect();
     let with_tenants = !settings.tenants.is_empty();
     let clock = Clock::new();
-    let core = Core::new(settings, tables, config.discovery, seed, clock.now(), limits.open)
+    let store = limits.keys.zip(rules).map(|(bounds, rules)| keys::Store::new(bounds, rules));
+    let place = snapshot_file.as_ref().map(snapshots::Place::take).transpose()?;
+    let store = store.map(|store| remember(store, &doubts, &tables, place.as_ref(), clock.now()));
+    let mut core = Core::new(settings, tables, config.discovery, seed, clock.now(), limits.open)
         .map_err(|e| format!("NODE_CONFIG: settings: {e}"))?;
+    if let Some(store) = store {
+        core.keep_keys(store);
+    }
     let runtime = Runtime::new(core, clock, limits);
+    if let (Some(place), Some(now)) = (&place, snapshots::of(&runtime, false)) {
+        // Before the first request: else a kill would leave an orderly end's snapshot to be trusted.
+        place.write(&now).map_err(|e| format!("keys.snapshot.file: {e}"))?;
+    }
 
     let runners = runners::Runners::new(&runtime);
     runtime.add_link(runners.clone());
@@ -123,7 +163,7 @@
         let front = Faktory::new(&runtime, gateway, deadlines, with_tenants)?;
         Ok((front, platform::listen(at, backlog).map_err(|e| format!("listen: {at}: {e}"))?))
     });
-    let second = second.transpose().map_err(|e: String| format!("--gateway: {e}"))?;
+    let second = second.transpose().map_err(|e: String| format!("--config: faktory: {e}"))?;
     let mut terminate = signal(SignalKind::terminate()).map_err(|e| format!("SIGTERM: {e}"))?;
     // From here on a SIGHUP no longer ends the program.
     let mut hang_up = signal(SignalKind::hangup()).map_err(|e| format!("SIGHUP: {e}"))?;
@@ -164,6 +204,11 @@
             }
         }
     });
+    let writer = place.map(|place| Rc::new(snapshots::Writer::start(place)));
+    let writing = writer.clone().map(|writer| {
+        let held = runtime.clone();
+        actix_rt::spawn(async move { writer.keep_up(&held).await })
+    });
     let mut summary = tokio::time::interval(runtime.limits.summary);
     loop {
         tokio::select! {
@@ -184,6 +229,38 @@
     runtime.answered(stop - spell + runtime.limits.flush).await;
     // Whatever was answered last is still on its way out.
     front.drained(runtime.limits.flush).await;
+    if let Some(writing) = writing {
+        writing.abort();
+        let _ = writing.await;
+    }
+    if let Some(writer) = writer.and_then(Rc::into_inner) {
+        writer.end(snapshots::of(&runtime, true));
+    }
     log::info!("ends: {}", runtime.summary());
     Ok(())
 }
+
+/// The keys that a predecessor left, and for how long it may be in doubt what it did.
+fn remember(
+    mut store: keys::Store,
+    doubts: &[sr::Span],
+    tables: &sablerun_settings::Tables,
+    place: Option<&snapshots::Place>,
+    now: sr::Time,
+) -> keys::Store {
+    let snapshot = place.and_then(snapshots::Place::read);
+    let whole = snapshot.as_ref().is_some_and(|snapshot| snapshot.last);
+    if !whole {
+        for (class, doubt) in doubts.iter().enumerate() {
+            store.doubt_until(class as u32, now + *doubt);
+        }
+    }
+    if let Some(snapshot) = snapshot {
+        let (age, all) = ((now - snapshot.made).secs(), snapshot.records.len());
+        let names = (|n: &str| tables.classes.get(n), |n: &str| tables.tenants.get(n));
+        let records = snapshot.renumbered(names.0, names.1, |n| tables.zones.get(n));
+        let taken = store.restore(now, records);
+        log::info!(keys = all, taken = taken, age_s = age, whole = whole; "keys: a predecessor's are back");
+    }
+    store
+}
--- a/node/src/net/faktory.rs
+++ b/node/src/net/faktory.rs
@@ -18,7 +18,7 @@
 use std::collections::{HashMap, HashSet, VecDeque};
 use std::io;
 use std::net::SocketAddr;
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -30,7 +30,7 @@
 #[cfg(test)]
 mod model;
 
-/// The operator's file.
+/// The section `faktory` of the operator's file.
 #[derive(Clone, Debug, serde::Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Gateway {
@@ -122,6 +122,8 @@
     pub cost_us: String,
     pub slots: String,
     pub key: String,
+    /// True where the client's own later try is marked.
+    pub retry: String,
 }
 
 impl Default for Custom {
@@ -134,26 +136,12 @@
             cost_us: name("cost_us"),
             slots: name("slots"),
             key: name("key"),
+            retry: name("retry"),
         }
     }
 }
 
 impl Gateway {
-    /// Reads the operator's file.
-    ///
-    /// # Errors
-    ///
-    /// One line that names the key at fault.
-    pub fn read(path: &Path) -> Result<Gateway, String> {
-        let text = std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))?;
-        let parsed = toml::Deserializer::parse(&text).map_err(|e| e.message().to_owned());
-        let read = parsed.and_then(|toml| {
-            serde_path_to_error::deserialize(toml)
-                .map_err(|e| format!("{}: {}", e.path(), e.inner().message().replace('\n', " ")))
-        });
-        read.map_err(|e| format!("{}: {e}", path.display()))
-    }
-
     /// Whether the file makes sense with these settings.
     ///
     /// # Errors
@@ -667,6 +655,22 @@
             (None, Some(ms)) => sr::Span::from_secs(ms as f64 / 1e3),
             (None, None) => self.deadlines[class as usize],
         };
+        let key = string(&names.key)?;
+        // It becomes a header where a runner of the platform gets the job.
+        let visible = |key: &&str| !key.is_empty() && key.bytes().all(|b| (0x20..0x7f).contains(&b));
+        if key.is_some_and(|key| !visible(&key)) {
+            return Err(format!("custom.{} must be visible ASCII, and not empty", names.key));
+        }
+        let job = Job {
+            target: route.map_or_else(default_target, |r| r.target.clone()),
+            body: Value::from(args.clone()).to_string().into(),
+            key: Some(key.unwrap_or(jid).to_owned()),
+            content_type: Some("application/json".to_owned()),
+            class: class_name.to_owned(),
+            tenant: member.map(str::to_owned),
+            queue: Some(queue.to_owned()),
+            original: Some(Bytes::copy_from_slice(text.as_bytes())),
+        };
         Ok(Arrival {
             ticket: crate::core::Ticket(0),
             id: jid.into(),
@@ -676,17 +680,9 @@
             slots: figure(&names.slots)?.unwrap_or(1.0),
             memory: 0.0,
             estimate: sr::Span::from_secs(figure(&names.cost_us)?.unwrap_or(0.0) / 1e6),
-            retry: false,
-            job: Rc::new(Job {
-                target: route.map_or_else(default_target, |r| r.target.clone()),
-                body: Value::from(args.clone()).to_string().into(),
-                key: Some(string(&names.key)?.unwrap_or(jid).to_owned()),
-                content_type: Some("application/json".to_owned()),
-                class: class_name.to_owned(),
-                tenant: member.map(str::to_owned),
-                queue: Some(queue.to_owned()),
-                original: Some(Bytes::copy_from_slice(text.as_bytes())),
-            }),
+            retry: custom[&names.retry].as_bool().unwrap_or(false),
+            key: self.runtime.key_of(class, &job),
+            job: Rc::new(job),
         })
     }
 
@@ -711,6 +707,7 @@
             Ok(Answer::Served(_)) => Ok(()),
             Ok(Answer::Refused(hold_off)) => Err(format!("REFUSED retry_after={:.3}", hold_off.secs())),
             Ok(Answer::Failed(why)) => Err(format!("FAILED {why}")),
+            Ok(Answer::Unfit(why)) => Err(format!("MALFORMED PUSH: {why}")),
             Err(_) => Err("FAILED no answer was made".to_owned()),
         })
     }
--- a/node/src/net/platform.rs
+++ b/node/src/net/platform.rs
@@ -247,6 +247,7 @@
             queue: None,
             original: None,
         };
+        let key = self.runtime.key_of(head.class, &job);
         let (ticket, answer) = self.runtime.ticket();
         // Dropped with this future when the connection closes before the answer.
         let _here = Here::new(&self.runtime, ticket);
@@ -260,6 +261,7 @@
             memory: head.memory,
             estimate: head.estimate,
             retry: head.retry,
+            key,
             job: Rc::new(job),
         }));
         match answer.await {
@@ -272,6 +274,7 @@
                 reply
             }
             Ok(Answer::Failed(why)) => Reply::new(StatusCode::BAD_GATEWAY, why),
+            Ok(Answer::Unfit(why)) => Reply::new(StatusCode::UNPROCESSABLE_ENTITY, why),
             Err(_) => Reply::new(StatusCode::INTERNAL_SERVER_ERROR, "no answer was made"),
         }
     }
--- /dev/null
+++ b/node/src/operator.rs
@@ -0,0 +1,220 @@
+//! The operator's file: what an installation switches on beside the platform's own settings. It owns the
+//! file's form, its defaults and the errors that name a key and its line. It must never open anything
+//! but the file itself, nor decide what a section's subsystem decides.
+
+use crate::net::faktory::Gateway;
+use sablerun as sr;
+use sablerun_keys as keys;
+use sablerun_settings::Tables;
+use std::path::{Path, PathBuf};
+
+/// The operator's file, a section for each subsystem; what is left out is off.
+#[derive(Clone, Debug, Default, serde::Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Operator {
+    /// The Faktory front.
+    pub faktory: Option<Gateway>,
+    /// Idempotency keys at the edge.
+    pub keys: Option<Keys>,
+}
+
+/// The section `keys`.
+#[derive(Clone, Debug, serde::Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Keys {
+    /// Most keys held at once.
+    pub entries: usize,
+    /// Most memory for keys and results, in MiB.
+    pub memory_mb: usize,
+    /// Largest result that is kept, in bytes.
+    pub result_bytes: usize,
+    /// Longest key, in bytes.
+    pub key_bytes: usize,
+    /// Share of the entries that one member may hold.
+    pub member_share: f64,
+    /// Time for which a key that may have run is remembered, in seconds; three times the class's
+    /// deadline, or its window if that is longer, if it is left out.
+    pub remember_s: Option<f64>,
+    /// Time after a start in which a marked later try under an unknown key fails, in seconds; as long as
+    /// keys are remembered if it is left out.
+    pub doubt_s: Option<f64>,
+    /// Where the keys outlive the process.
+    pub snapshot: Option<SnapshotFile>,
+}
+
+/// The section `keys.snapshot`.
+#[derive(Clone, Debug, serde::Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct SnapshotFile {
+    /// The file; beside it stand `FILE.tmp` and `FILE.lock`.
+    pub file: PathBuf,
+    /// Time between two snapshots, in seconds.
+    #[serde(default = "default_every")]
+    pub every_s: f64,
+}
+
+fn default_every() -> f64 {
+    1.0
+}
+
+impl Default for Keys {
+    fn default() -> Keys {
+        Keys {
+            entries: 100_000,
+            memory_mb: 48,
+            result_bytes: 16 * 1024,
+            key_bytes: 1024,
+            member_share: 0.5,
+            remember_s: None,
+            doubt_s: None,
+            snapshot: None,
+        }
+    }
+}
+
+impl Operator {
+    /// Reads the operator's file.
+    ///
+    /// # Errors
+    ///
+    /// One line that names the file, the line and the key at fault.
+    pub fn read(path: &Path) -> Result<Operator, String> {
+        let text = std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))?;
+        Operator::parse(&text).map_err(|e| format!("{}: {e}", path.display()))
+    }
+
+    /// The same from the file's text. A file that holds the Faktory front's keys at its top, as files did
+    /// before there were sections, is understood as that section alone.
+    fn parse(text: &str) -> Result<Operator, String> {
+        let table: toml::Table = toml::from_str(text).map_err(|e| at(text, e.span(), e.message()))?;
+        if !table.contains_key("listen") {
+            return section(text);
+        }
+        if let Some(other) = ["faktory", "keys"].into_iter().find(|name| table.contains_key(*name)) {
+            return Err(format!(
+                "{other}: the Faktory front's keys stand at this file's top, the old form; move them under \
+                 [faktory] to use sections"
+            ));
+        }
+        Ok(Operator { faktory: Some(section(text)?), keys: None })
+    }
+
+    /// Whether the file makes sense with these settings and so much memory.
+    ///
+    /// # Errors
+    ///
+    /// Names the key at fault.
+    pub fn check(&self, tables: &Tables, memory_mb: usize) -> Result<(), String> {
+        if let Some(gateway) = &self.faktory {
+            gateway.check(tables).map_err(|e| format!("faktory: {e}"))?;
+        }
+        if let Some(keys) = &self.keys {
+            keys.check(memory_mb).map_err(|e| format!("keys: {e}"))?;
+        }
+        Ok(())
+    }
+}
+
+fn section<T: serde::de::DeserializeOwned>(text: &str) -> Result<T, String> {
+    let toml = toml::Deserializer::parse(text).map_err(|e| at(text, e.span(), e.message()))?;
+    serde_path_to_error::deserialize(toml).map_err(|e| {
+        let (path, inner) = (e.path().to_string(), e.inner());
+        let message = inner.message().replace('\n', " ");
+        at(text, inner.span(), &if path == "." { message } else { format!("{path}: {message}") })
+    })
+}
+
+/// An error with the line that it is about.
+fn at(text: &str, span: Option<std::ops::Range<usize>>, message: &str) -> String {
+    let message = message.replace('\n', " ");
+    match span.and_then(|span| text.get(..span.start)) {
+        Some(before) => format!("line {}: {message}", before.matches('\n').count() + 1),
+        None => message,
+    }
+}
+
+impl Keys {
+    fn check(&self, memory_mb: usize) -> Result<(), String> {
+        if self.entries == 0 || self.entries > 100_000_000 {
+            return Err("entries: from 1 to 100000000".to_owned());
+        }
+        // The rest of the memory is the dispatcher's own, as on the platform.
+        if self.memory_mb == 0 || self.memory_mb * 2 > memory_mb {
+            return Err(format!("memory_mb: from 1 to {}, half of the machine's", memory_mb / 2));
+        }
+        if self.result_bytes > self.memory_mb << 20 {
+            return Err("result_bytes: more than memory_mb".to_owned());
+        }
+        if self.key_bytes == 0 || self.key_bytes > 65_536 {
+            return Err("key_bytes: from 1 to 65536".to_owned());
+        }
+        if !(self.member_share > 0.0 && self.member_share <= 1.0) {
+            return Err("member_share: above 0, and 1 at the most".to_owned());
+        }
+        for (name, time) in [("remember_s", self.remember_s), ("doubt_s", self.doubt_s)] {
+            if time.is_some_and(|s| !(0.0..=86_400.0).contains(&s)) {
+                return Err(format!("{name}: from 0 to 86400"));
+            }
+        }
+        if let Some(snapshot) = &self.snapshot {
+            if !(0.05..=3_600.0).contains(&snapshot.every_s) {
+                return Err("snapshot.every_s: from 0.05 to 3600".to_owned());
+            }
+            if snapshot.file.file_name().is_none() {
+                return Err("snapshot.file: names no file".to_owned());
+            }
+        }
+        Ok(())
+    }
+
+    /// What the store may hold.
+    pub fn bounds(&self, hold_off: sr::Span) -> keys::Bounds {
+        keys::Bounds {
+            entries: self.entries,
+            bytes: self.memory_mb << 20,
+            result: self.result_bytes,
+            key: self.key_bytes,
+            member: ((self.entries as f64 * self.member_share) as usize).max(1),
+            hold_off,
+        }
+    }
+
+    /// How long a class's keys are kept. A client that gives each of three tries the class's deadline is
+    /// done after three of them: a later repeat is a new job.
+    pub fn rule(&self, class: &sr::Class) -> keys::Rule {
+        let keep = self.remember_s.map_or(sr::Span(class.deadline.0.saturating_mul(3)), sr::Span::from_secs);
+        keys::Rule { window: class.window, keep: keep.max(class.window) }
+    }
+
+    /// For how long after a start a class's marked later try may be of a request that a predecessor sent
+    /// where this process can't know. Workers of one group that is all of them drop it anywhere.
+    pub fn doubt(&self, class: &sr::Class) -> sr::Span {
+        match class.effect {
+            sr::Effect::Safe | sr::Effect::Keyed(sr::Group::All) => sr::Span(0),
+            _ => self.doubt_s.map_or(self.rule(class).keep, sr::Span::from_secs),
+        }
+    }
+}
+
+#[test]
+fn an_error_names_the_key_and_its_line() {
+    let error = |text: &str| Operator::parse(text).unwrap_err();
+    assert!(error("[keys]\nentries = 5\nentires = 6\n").starts_with("line 3: keys.entires: unknown field"));
+    assert!(error("[keys]\nentries = \"many\"\n").starts_with("line 2: keys.entries: invalid type"));
+    assert!(error("[keys]\n\n[keys.snapshot]\nevery_s = 1\n").contains("missing field `file`"));
+    assert!(error("[kees]\n").starts_with("line 1: kees: unknown field"));
+    assert!(error("a = \n").starts_with("line 1: "));
+    assert!(error("listen = \"127.0.0.1:1\"\n[keys]\n").starts_with("keys: the Faktory front's keys stand"));
+    let check = |text: &str| Operator::parse(text).unwrap().keys.unwrap().check(192).unwrap_err();
+    assert_eq!(check("[keys]\nmemory_mb = 97\n"), "memory_mb: from 1 to 96, half of the machine's");
+    assert_eq!(check("[keys]\nmember_share = 0\n"), "member_share: above 0, and 1 at the most");
+    assert_eq!(check("[keys]\nremember_s = -1\n"), "remember_s: from 0 to 86400");
+}
+
+#[test]
+fn the_files_under_deploy_are_understood() {
+    for name in ["gateway.toml", "keys.toml"] {
+        let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("../deploy").join(name);
+        Operator::read(&path).unwrap();
+    }
+}
--- a/node/src/runtime.rs
+++ b/node/src/runtime.rs
@@ -3,10 +3,12 @@
 //! who waits for which answer. It must never change the dispatcher's state except through
 //! [`Core::step`], nor speak a wire: that is for what stands in `net`.
 
-use crate::core::{Answer, AttemptId, Core, Effect, Input, Tally, Ticket};
+use crate::core::{Answer, AttemptId, Core, Effect, Input, Key, Tally, Ticket};
 use crate::limits::Limits;
 use bytes::Bytes;
 use sablerun as sr;
+use sablerun_keys as keys;
+use sha2::{Digest, Sha256};
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
@@ -146,6 +148,22 @@
         read(self.core.borrow().tables())
     }
 
+    /// Reads from the keys that the core keeps, if it keeps any.
+    pub fn with_keys<T>(&self, read: impl FnOnce(&Core<Rc<Job>>, &keys::Store) -> T) -> Option<T> {
+        let core = self.core.borrow();
+        core.keys().map(|store| read(&core, store))
+    }
+
+    /// A job's key, where keys are kept for its class: what it stands for is the job's path, query and
+    /// body. Costs nothing where none are kept.
+    pub fn key_of(&self, class: u32, job: &Job) -> Option<Key> {
+        let text = job.key.as_deref().filter(|_| self.core.borrow().wants_key(class))?;
+        let digest = Sha256::new().chain_update(&job.target).chain_update([0]).chain_update(&job.body);
+        let digest: [u8; 32] = digest.finalize().into();
+        let print = keys::Fingerprint(std::array::from_fn(|n| digest[n]));
+        Some(Key { text: text.into(), print })
+    }
+
     /// A ticket for a new request, and where its answer will arrive.
     pub fn ticket(&self) -> (Ticket, oneshot::Receiver<Answer>) {
         self.tickets.set(self.tickets.get() + 1);
@@ -158,6 +176,7 @@
     /// The client of a ticket has left; nothing happens if it was answered.
     pub fn client_gone(&self, ticket: Ticket) {
         if self.waiting.borrow_mut().remove(&ticket).is_some() {
+            log::debug!("a client has left, ticket {}", ticket.0);
             self.feed(Input::ClientGone(ticket));
         }
     }
@@ -273,8 +292,22 @@
     pub fn summary(&self) -> String {
         let core = self.core.borrow();
         let t = core.tally();
+        let keys = core.keys().map_or(String::new(), |store| {
+            let c = store.counts();
+            format!(
+                " unfit {} keys {} joined {} handed_back {} again {} spent {} unknown {} keys_full {}",
+                t.unfit,
+                store.len(),
+                c.joined,
+                c.handed_back,
+                c.again,
+                c.spent + c.not_kept,
+                c.unknown,
+                c.full + c.member_full
+            )
+        });
         format!(
-            "taken {} served {} refused {} failed {} left {} attempts {} open {}",
+            "taken {} served {} refused {} failed {} left {} attempts {} open {}{keys}",
             t.taken,
             t.served,
             t.refused,
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -147,7 +147,12 @@
     }
 
     pub fn start_with(config: Value, gateway: Option<&str>) -> Program {
-        let mut command = Program::command(&config, gateway);
+        let command = Program::command(&config, gateway);
+        Program::spawn(command, gateway.is_some_and(|text| text.contains("listen")))
+    }
+
+    /// Starts a command that was made ready, and waits likewise.
+    pub fn spawn(mut command: Command, faktory: bool) -> Program {
         let config = command.get_envs().find(|(name, _)| *name == "NODE_CONFIG").unwrap().1.unwrap().into();
         let mut child = command.spawn().unwrap();
         let (log, lines) = (Events::default(), BufReader::new(child.stderr.take().unwrap()));
@@ -158,7 +163,7 @@
             rest.split([' ', ',']).next().unwrap().parse::<SocketAddr>().unwrap()
         };
         let at = after(log.wait("ready on ", 1), "ready on ");
-        let faktory = gateway.map(|_| after(log.wait("faktory on ", 1), "faktory on "));
+        let faktory = faktory.then(|| after(log.wait("faktory on ", 1), "faktory on "));
         log.wait("list Full", 1);
         Program { child, at, faktory, log, config }
     }
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -48,6 +48,11 @@
         &self.names[number as usize]
     }
 
+    /// All names, in the order of their numbers.
+    pub fn all(&self) -> &[String] {
+        &self.names
+    }
+
     /// The name behind a number, as JSON text.
     pub fn quoted(&self, number: u32) -> &str {
         &self.quoted[number as usize]
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -159,6 +159,8 @@
     latest: Time,
     withdraw: Time,
     over_share: bool,
+    /// Where an earlier try of it may have run.
+    prior: Option<Prior>,
     /// Share of the room that it leaves to dearer work when workers are full.
     yields: f64,
     /// Place in the line: work for each unit of worth.
@@ -172,10 +174,6 @@
     fn outstanding(&self) -> bool {
         self.attempts.iter().any(|a| a.ended.is_none())
     }
-
-    fn may_have_run(&self) -> Option<&Attempt> {
-        self.attempts.iter().find(|a| a.ended.is_none_or(|o| !o.never_ran()))
-    }
 }
 
 /// The dispatcher.
@@ -287,6 +285,7 @@
             Event::ListFailed => self.list_failed(),
             Event::Arrival(arrival) => self.arrive(arrival),
             Event::Closed(id) => self.close(id),
+            Event::Extended(id, deadline) => self.watch_deadline(id, deadline),
             Event::Began(id, attempt) => {
                 self.requests.entry(id).and_modify(|request| request.streaming = true);
                 self.noted(id, attempt, Note::Started);
@@ -525,6 +524,12 @@
         }
     }
 
+    /// Where the request may have run first, at an earlier try or at this one.
+    fn may_have_run(&self, request: &Request) -> Option<Prior> {
+        let ran = request.attempts.iter().find(|a| a.ended.is_none_or(|o| !o.never_ran()));
+        request.prior.or_else(|| ran.map(|a| self.entries[a.worker].prior(a.sent)))
+    }
+
     /// Whether the rules and the request's effect allow this worker at all.
     fn allowed(&self, request: &Request, i: usize) -> bool {
         let entry = &self.entries[i];
@@ -533,15 +538,13 @@
         if !fits || self.warmth(i) < 1.0 && self.cold_turns(i) < 1.0 {
             return false;
         }
-        let Some(first) = request.may_have_run() else { return true };
+        let Some(first) = self.may_have_run(request) else { return true };
         match class.effect {
             Effect::Safe => true,
             Effect::Unsafe => false,
             Effect::Keyed(group) => {
-                let there = &self.entries[first.worker];
-                let zone = group == Group::All || there.zone == entry.zone;
-                let same = zone && (group != Group::Cell || there.cell == entry.cell);
-                same && self.now + Span(self.settings.tick.0 * 2) < first.sent + class.window
+                let until = first.sent + class.window - Span(self.settings.tick.0 * 2);
+                first.shares(group, entry) && self.now < until
             }
         }
     }
@@ -663,14 +666,19 @@
         let yields = 1.0 - dear(settings, &self.classes[c]) / slots / dearest;
         let mut request = Request { class: c, slots, work, deadline, latest, withdraw, ..Request::default() };
         (request.over_share, request.rank, request.yields) = (over_share, rank, yields);
-        (request.hint, request.came) = (hint, self.at - age);
+        (request.hint, request.came, request.prior) = (hint, self.at - age, arrival.prior);
         request.aim = settings.objective.secs() + settings.stretch * if hint > 0.0 { hint } else { work };
         self.requests.insert(id, request);
         self.taken.push_back(self.now);
         self.turn();
+        self.watch_deadline(id, deadline);
+        self.held.insert((over_share, rank, id));
+    }
+
+    fn watch_deadline(&mut self, id: RequestId, deadline: Time) {
+        self.requests.entry(id).and_modify(|request| request.deadline = deadline);
         let margin = Span(self.settings.tick.0 * 2);
         self.out.push(Action::Timer((deadline - margin).max(self.now), u64::from(id.0) << 8));
-        self.held.insert((over_share, rank, id));
     }
 
     /// Whether the tenant's requests here exceed its share of what this dispatcher carries.
@@ -689,7 +697,7 @@
         let mut failed = Vec::new();
         for (_, _, id) in line {
             let request = &self.requests[&id];
-            let what = (request.class, request.slots, request.may_have_run().map(|a| a.worker));
+            let what = (request.class, request.slots, self.may_have_run(request).map(|p| (p.zone, p.cell)));
             let latest = request.latest;
             let turn = self.turn_at(id);
             if self.now >= latest || turn.is_none_or(|turn| turn >= latest) {
@@ -711,10 +719,9 @@
     /// The one place that sends.
     fn send(&mut self, id: RequestId, i: usize) {
         let request = &self.requests[&id];
-        let number = request.attempts.len();
+        let (number, class) = (request.attempts.len(), request.class);
         let blocked = !self.settings.parallel && request.outstanding();
         let left = number < self.settings.max_attempts as usize;
-        let class = request.class;
         if request.settled || blocked || !left || !self.allowed(request, i) {
             return;
         }
@@ -777,11 +784,10 @@
         }
         let harmless = match self.settings.classes[request.class].effect {
             Effect::Safe | Effect::Keyed(Group::All) => true,
-            _ => request.may_have_run().is_none(),
+            _ => self.may_have_run(request).is_none(),
         };
         let off = self.settings.max_hold_off.min(self.settings.classes[request.class].objective);
-        let refusal = Action::Refuse(id, off);
-        self.out.push(if harmless { refusal } else { Action::Fail(id) });
+        self.out.push(if harmless { Action::Refuse(id, off) } else { Action::Fail(id) });
         self.close(id);
     }
 
@@ -1005,7 +1011,7 @@
         let request = &self.requests[&id];
         let left = request.attempts.len() < self.settings.max_attempts as usize;
         let bound = self.settings.classes[request.class].effect == Effect::Unsafe;
-        if left && self.now < request.latest && !(bound && request.may_have_run().is_some()) {
+        if left && self.now < request.latest && !(bound && self.may_have_run(request).is_some()) {
             self.held.insert((request.over_share, request.rank, id));
         } else {
             self.settle(id);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -312,6 +312,13 @@
     pub up_since: Option<Time>,
 }
 
+impl ListEntry {
+    /// A try sent there, as a repeat of it is bound.
+    pub fn prior(&self, sent: Time) -> Prior {
+        Prior { zone: self.zone, cell: self.cell, sent }
+    }
+}
+
 /// How a list relates to the one held.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ListKind {
@@ -394,6 +401,30 @@
     pub estimate: Span,
     /// The client marks it as a later try.
     pub retry: bool,
+    /// An earlier try of it may have run, and where: a repeat is bound to that as to an own attempt.
+    pub prior: Option<Prior>,
+}
+
+/// Where and when a try that may have run was sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Prior {
+    /// The zone.
+    pub zone: ZoneId,
+    /// The cell.
+    pub cell: u32,
+    /// When it was sent.
+    pub sent: Time,
+}
+
+impl Prior {
+    /// Whether a worker drops repeats of what was sent there, where the group remembers them.
+    pub fn shares(&self, group: Group, entry: &ListEntry) -> bool {
+        match group {
+            Group::All => true,
+            Group::Zone => self.zone == entry.zone,
+            Group::Cell => self.zone == entry.zone && self.cell == entry.cell,
+        }
+    }
 }
 
 /// What the host tells the dispatcher.
@@ -407,6 +438,8 @@
     Arrival(Arrival),
     /// The request is closed: its client has left.
     Closed(RequestId),
+    /// Another client waits for the request too, up to this deadline.
+    Extended(RequestId, Time),
     /// The streamed answer of this attempt has begun; the attempt is the client's now.
     Began(RequestId, u32),
     /// News of an outstanding attempt.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -45,6 +45,7 @@
 //!     memory: 0.0,
 //!     estimate: Span(0),
 //!     retry: false,
+//!     prior: None,
 //! });
 //! balancer.handle(now, arrival, &mut actions);
 //! assert!(actions.contains(&Action::Send(RequestId(1), WorkerId(0))));
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -180,7 +180,8 @@
         self.taken.push(self.now);
         self.requests.insert(request, Known { class, deadline, settled: false, attempts: Vec::new() });
         let (slots, memory) = (1.0, 0.0);
-        let arrival = Arrival { request, class, tenant, deadline, slots, memory, estimate, retry };
+        let arrival =
+            Arrival { request, class, tenant, deadline, slots, memory, estimate, retry, prior: None };
         self.event(Event::Arrival(arrival));
     }
 
