--- /dev/null
+++ b/lab/src/http.rs
@@ -0,0 +1,125 @@
+//! HTTP/1.1 as the platform's parties speak it: a head, and a body whose length is stated. It owns one
+//! connection's reading and writing; it must never repeat a message by itself.
+
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+/// Largest message that is read.
+const MOST: usize = 1 << 20;
+
+/// A message as it came.
+#[derive(Clone, Debug, Default)]
+pub struct Message {
+    /// Method and target of a request; empty for an answer.
+    pub method: String,
+    /// The target of a request.
+    pub target: String,
+    /// The status of an answer.
+    pub status: u16,
+    headers: Vec<(String, String)>,
+    /// The body.
+    pub body: Vec<u8>,
+}
+
+impl Message {
+    /// A header's value, by its name in lower case; empty if there is none.
+    pub fn header(&self, name: &str) -> &str {
+        self.headers.iter().find(|(n, _)| n == name).map_or("", |(_, value)| value)
+    }
+}
+
+/// One connection, with what was read beyond the last message.
+pub struct Connection {
+    stream: TcpStream,
+    buffer: Vec<u8>,
+}
+
+impl Connection {
+    /// An accepted or opened stream.
+    pub fn new(stream: TcpStream) -> Connection {
+        let _ = stream.set_nodelay(true);
+        Connection { stream, buffer: Vec::new() }
+    }
+
+    /// Opens one, for so long at the most.
+    pub async fn open(to: SocketAddr, wait: Duration) -> io::Result<Connection> {
+        let stream = tokio::time::timeout(wait, TcpStream::connect(to)).await;
+        let stream = stream.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
+        // On loopback a connection to a port that nobody listens on may be given that very port as its own
+        // and meet itself: what is written on it is then read back as an answer.
+        if stream.local_addr()? == stream.peer_addr()? {
+            return Err(io::ErrorKind::ConnectionRefused.into());
+        }
+        Ok(Connection::new(stream))
+    }
+
+    /// The next message; `None` where the stream ends between two.
+    pub async fn read(&mut self) -> io::Result<Option<Message>> {
+        loop {
+            if let Some((message, used)) = parse(&self.buffer)? {
+                self.buffer.drain(..used);
+                return Ok(Some(message));
+            }
+            if self.stream.read_buf(&mut self.buffer).await? == 0 {
+                return if self.buffer.is_empty() {
+                    Ok(None)
+                } else {
+                    Err(io::ErrorKind::UnexpectedEof.into())
+                };
+            }
+            if self.buffer.len() > MOST {
+                return Err(io::ErrorKind::InvalidData.into());
+            }
+        }
+    }
+
+    /// Writes a message whole.
+    pub async fn write(&mut self, head: &str, body: &[u8]) -> io::Result<()> {
+        let mut bytes = format!("{head}\r\nContent-Length: {}\r\n\r\n", body.len()).into_bytes();
+        bytes.extend_from_slice(body);
+        self.stream.write_all(&bytes).await
+    }
+
+    /// Writes bytes as they are.
+    pub async fn raw(&mut self, bytes: &[u8]) -> io::Result<()> {
+        self.stream.write_all(bytes).await
+    }
+}
+
+/// One exchange on a connection of its own, for so long at the most.
+pub async fn call(to: SocketAddr, head: &str, body: &[u8], wait: Duration) -> io::Result<Message> {
+    let exchange = async {
+        let mut connection = Connection::open(to, wait).await?;
+        connection.write(head, body).await?;
+        connection.read().await?.ok_or_else(|| io::ErrorKind::UnexpectedEof.into())
+    };
+    tokio::time::timeout(wait, exchange).await.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()))
+}
+
+/// A message at the start of these bytes and its length, once it is there whole.
+fn parse(bytes: &[u8]) -> io::Result<Option<(Message, usize)>> {
+    let bad = |_| io::Error::from(io::ErrorKind::InvalidData);
+    let mut headers = [httparse::EMPTY_HEADER; 64];
+    let mut message = Message::default();
+    let (head, headers) = if bytes.starts_with(b"HTTP/") {
+        let mut response = httparse::Response::new(&mut headers);
+        let httparse::Status::Complete(head) = response.parse(bytes).map_err(bad)? else { return Ok(None) };
+        message.status = response.code.unwrap_or(0);
+        (head, response.headers)
+    } else {
+        let mut request = httparse::Request::new(&mut headers);
+        let httparse::Status::Complete(head) = request.parse(bytes).map_err(bad)? else { return Ok(None) };
+        message.method = request.method.unwrap_or("").to_owned();
+        message.target = request.path.unwrap_or("").to_owned();
+        (head, request.headers)
+    };
+    let text = |value: &[u8]| String::from_utf8_lossy(value).into_owned();
+    message.headers = headers.iter().map(|h| (h.name.to_ascii_lowercase(), text(h.value))).collect();
+    let length: usize = message.header("content-length").parse().unwrap_or(0);
+    let Some(body) = bytes.get(head..head + length) else { return Ok(None) };
+    message.body = body.to_vec();
+    Ok(Some((message, head + length)))
+}
--- /dev/null
+++ b/lab/src/main.rs
@@ -0,0 +1,163 @@
+//! `sablerun-lab`: plays experiments on stand-ins, checks what they must show, and draws what was kept.
+
+use clap::{Parser, Subcommand};
+use indicatif::{ProgressBar, ProgressStyle};
+use sablerun_lab::chart::Kept;
+use sablerun_lab::experiment::Experiment;
+use sablerun_lab::play::{Figures, Judged, judge, play};
+use serde_json::json;
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+
+const EXAMPLES: &str = "\
+Examples:
+  sablerun-lab check idempotency
+  sablerun-lab check idempotency --switch-off keys     (must fail: the check can)
+  sablerun-lab run experiments/idempotency.toml --out results/idempotency
+  sablerun-lab chart results/idempotency
+
+Exit codes: 0 all bounds hold, 1 one does not or it could not be played, 2 the command line makes no sense.";
+
+/// Real dispatchers between stand-ins.
+#[derive(Parser)]
+#[command(name = "sablerun-lab", version, after_help = EXAMPLES)]
+struct Cli {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Play an experiment and print its figures.
+    Run {
+        /// The experiment (TOML).
+        file: PathBuf,
+        /// Keep the result in this folder.
+        #[arg(long, value_name = "FOLDER")]
+        out: Option<PathBuf>,
+        #[command(flatten)]
+        how: How,
+    },
+    /// Play `experiments/NAME.toml` and hold its figures against its bounds.
+    Check {
+        /// The experiment's name.
+        name: String,
+        #[command(flatten)]
+        how: How,
+    },
+    /// Draw the result kept in a folder.
+    Chart {
+        /// The folder.
+        folder: PathBuf,
+    },
+}
+
+#[derive(clap::Args)]
+struct How {
+    /// Leave these sections out of the dispatchers' operator's files.
+    #[arg(long, value_name = "SECTION")]
+    switch_off: Vec<String>,
+    /// Print one JSON object.
+    #[arg(long)]
+    json: bool,
+}
+
+fn main() -> ExitCode {
+    let done = match Cli::parse().command {
+        Command::Run { file, out, how } => run(&file, out.as_deref(), &how).map(|()| true),
+        Command::Check { name, how } => check(&name, &how),
+        Command::Chart { folder } => Kept::read(&folder).and_then(|kept| kept.draw(&folder)).map(|()| true),
+    };
+    match done {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::FAILURE,
+        Err(message) => {
+            eprintln!("sablerun-lab: {message}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn played(experiment: &Experiment, how: &How) -> Result<Figures, String> {
+    let folder = std::env::temp_dir().join(format!("sablerun-lab-{}", std::process::id()));
+    let bar = ProgressBar::new(1000);
+    let style = ProgressStyle::with_template("{msg:>12} [{bar:40}] {percent:>3} %  {elapsed}");
+    bar.set_style(style.unwrap_or_else(|_| ProgressStyle::default_bar()).progress_chars("=> "));
+    let tick = |phase: &str, done: f64| {
+        bar.set_message(phase.to_owned());
+        bar.set_position((done * 1000.0) as u64);
+    };
+    let runtime = tokio::runtime::Runtime::new().map_err(|e| e.to_string())?;
+    let figures = runtime.block_on(play(experiment, &folder, &how.switch_off, tick));
+    bar.finish_and_clear();
+    if figures.is_ok() {
+        let _ = std::fs::remove_dir_all(&folder);
+    }
+    figures
+}
+
+fn table(figures: &Figures) {
+    for (name, value) in &figures.values {
+        println!("{name:<40} {value:>12.3}");
+    }
+    for (phase, remark) in figures.remarks.iter().flat_map(|(p, all)| all.iter().map(move |r| (p, r))) {
+        println!("{phase}: {remark}");
+    }
+}
+
+fn run(file: &Path, out: Option<&Path>, how: &How) -> Result<(), String> {
+    let experiment = Experiment::read(file)?;
+    let kept = Kept::now(played(&experiment, how)?);
+    if how.json {
+        println!("{}", serde_json::to_string(&kept).map_err(|e| e.to_string())?);
+    } else {
+        table(&kept.figures);
+    }
+    if let Some(folder) = out {
+        kept.write(folder)?;
+        kept.draw(folder)?;
+    }
+    Ok(())
+}
+
+fn check(name: &str, how: &How) -> Result<bool, String> {
+    let file = Path::new("experiments").join(name).with_extension("toml");
+    if !file.is_file() {
+        let all = std::fs::read_dir("experiments").into_iter().flatten().flatten();
+        let mut names: Vec<_> =
+            all.filter_map(|e| Some(e.path().file_stem()?.to_str()?.to_owned())).collect();
+        names.sort();
+        let known = if names.is_empty() {
+            "none; run this from the repository's root".to_owned()
+        } else {
+            names.join(", ")
+        };
+        return Err(format!("{}: no such experiment; there are: {known}", file.display()));
+    }
+    let experiment = Experiment::read(&file)?;
+    let figures = played(&experiment, how)?;
+    let judged = judge(&experiment, &figures);
+    let holds = judged.iter().all(|bound| bound.holds);
+    let main = figures.values.get(&experiment.main).copied();
+    if how.json {
+        println!(
+            "{}",
+            json!({"holds": holds, "bounds": judged, "main": {&experiment.main: main}, "figures": figures})
+        );
+        return Ok(holds);
+    }
+    println!("{}\n", experiment.about);
+    table(&figures);
+    println!();
+    judged.iter().for_each(line);
+    println!("\n{} {}", experiment.main, main.map_or("missing".to_owned(), |value| value.to_string()));
+    Ok(holds)
+}
+
+fn line(bound: &Judged) {
+    let value = bound.value.map_or("missing".to_owned(), |value| format!("{value:.3}"));
+    let least = bound.min.map_or(String::new(), |min| format!(" at least {min}"));
+    let most = bound.max.map_or(String::new(), |max| format!(" at most {max}"));
+    let verdict = if bound.holds { "holds" } else { "BROKEN" };
+    println!("{verdict:<7} {:<40} {value:>12} {least}{most}", bound.figure);
+}
