Add the ledger of durable leased jobs and their store on disk

Each lease has an epoch as fencing token, written before the hand-out. store/ keeps jobs in redb behind a narrow trait, commits all waiting steps at once on a thread of its own, and stops for good after a commit that failed. Neither is used by the program yet.

Found by turning bits: redb looks at its pages' checksums only when asked (a job came back under another number), and panics on damaged bookkeeping, when opening and when closing. A load asks for the check, a record's checksum covers its number, and calls are fenced.

--- /dev/null
+++ b/store/tests/disk.rs
@@ -0,0 +1,187 @@
+//! The store on a real disk: what comes back after an end, a kill, a turned bit, and a disk that fails.
+
+use bytes::Bytes;
+use sablerun::{Span, Time};
+use sablerun_ledger::{Change, Epoch, Job, JobId, State};
+use sablerun_store::{Committer, Disk, Durable, Fault, Faulty, Loaded, Outcome, StoreError};
+use std::io::{BufRead, BufReader};
+use std::path::Path;
+use std::process::{Command, Stdio};
+use std::sync::mpsc::channel;
+
+fn job(id: u64, size: usize) -> Job {
+    Job {
+        id: JobId(id),
+        member: 1,
+        class: 2,
+        key: Some(Bytes::from(format!("key-{id}"))),
+        body: Bytes::from(vec![b'b'; size]),
+        accepted: Time(5),
+        lease: Span(6),
+        most: 3,
+        tries: 1,
+        epoch: Epoch(1),
+        error: Some("why".to_owned()),
+        state: State::Leased { until: Time(9) },
+    }
+}
+
+fn load(file: &Path) -> Result<Loaded, StoreError> {
+    Disk::open(file)?.load()
+}
+
+#[test]
+fn what_was_committed_is_there_and_no_number_is_given_twice() {
+    let folder = tempfile::tempdir().unwrap();
+    let file = folder.path().join("jobs");
+    let mut disk = Disk::open(&file).unwrap();
+    disk.commit(&[Change::Put(job(1, 10)), Change::Put(job(2, 60_000)), Change::Put(job(7, 0))]).unwrap();
+    disk.commit(&[Change::Put(job(1, 20)), Change::Drop(JobId(2))]).unwrap();
+    drop(disk);
+    assert_eq!(load(&file).unwrap(), Loaded { next: 8, jobs: vec![job(1, 20), job(7, 0)] });
+    let mut disk = Disk::open(&file).unwrap();
+    disk.commit(&[Change::Drop(JobId(1)), Change::Drop(JobId(7))]).unwrap();
+    drop(disk);
+    assert_eq!(load(&file).unwrap(), Loaded { next: 8, jobs: vec![] });
+}
+
+#[test]
+fn one_process_at_a_time() {
+    let folder = tempfile::tempdir().unwrap();
+    let file = folder.path().join("jobs");
+    let _held = Disk::open(&file).unwrap();
+    let error = Disk::open(&file).err().unwrap();
+    assert!(matches!(&error, StoreError::Locked(_)), "{error}");
+    assert!(error.to_string().contains("another process has it open"));
+}
+
+/// Whatever bit is turned: the jobs as they were, or an error, and never a panic.
+#[test]
+fn a_turned_bit_is_found_or_of_no_account() {
+    let folder = tempfile::tempdir().unwrap();
+    let (good, bad) = (folder.path().join("good"), folder.path().join("bad"));
+    let mut disk = Disk::open(&good).unwrap();
+    let jobs: Vec<_> = (1..40).map(|id| job(id, 700 + id as usize)).collect();
+    disk.commit(&jobs.iter().cloned().map(Change::Put).collect::<Vec<_>>()).unwrap();
+    drop(disk);
+    let bytes = std::fs::read(&good).unwrap();
+    let whole = load(&good).unwrap();
+    let mut found = 0;
+    // Every byte that is not zero holds something, but there are many: each 37th.
+    for (at, _) in bytes.iter().enumerate().filter(|(_, byte)| **byte != 0).step_by(37) {
+        let mut turned = bytes.clone();
+        turned[at] ^= 1 << (at % 8);
+        std::fs::write(&bad, &turned).unwrap();
+        match std::panic::catch_unwind(|| load(&bad)) {
+            Ok(Ok(loaded)) => assert!(loaded == whole, "byte {at} turned, and other jobs loaded"),
+            Ok(Err(_)) => found += 1,
+            Err(_) => panic!("byte {at} turned, and the store panics"),
+        }
+    }
+    // What redb says when it panics stands in the output; the store has caught it.
+    assert!(found > 0);
+}
+
+#[test]
+fn what_is_no_store_or_of_a_newer_schema_is_refused() {
+    let folder = tempfile::tempdir().unwrap();
+    let text = folder.path().join("text");
+    std::fs::write(&text, "this is no store of jobs").unwrap();
+    assert!(matches!(load(&text), Err(StoreError::NoStore(_) | StoreError::Io(_))));
+    let newer = folder.path().join("newer");
+    drop(Disk::open(&newer).unwrap());
+    let table: redb::TableDefinition<&str, u64> = redb::TableDefinition::new("facts");
+    let database = redb::Database::open(&newer).unwrap();
+    let write = database.begin_write().unwrap();
+    write.open_table(table).unwrap().insert("schema", 9).unwrap();
+    write.commit().unwrap();
+    drop(database);
+    let error = load(&newer).unwrap_err();
+    assert_eq!(error, StoreError::Schema(9));
+    assert!(error.to_string().contains("use a newer one"), "{error}");
+}
+
+#[test]
+fn steps_are_told_in_order_and_nothing_after_a_failed_commit() {
+    for (fault, written) in [(Fault::Full, 2), (Fault::SyncLost, 2), (Fault::SyncWritten, 3)] {
+        let folder = tempfile::tempdir().unwrap();
+        let file = folder.path().join("jobs");
+        // One step a commit, so that the plan meets the third.
+        let store = Faulty::new(Disk::open(&file).unwrap(), [Fault::None, Fault::None, fault]);
+        let (tell, told) = channel();
+        let mut committer = Committer::start(store, 8, 1, move |outcome| tell.send(outcome).unwrap());
+        for number in 1..=2 {
+            assert_eq!(committer.queue(vec![Change::Put(job(number, 1))]), Some(number));
+            assert_eq!(told.recv().unwrap(), Outcome::Durable(number));
+        }
+        assert_eq!(committer.queue(vec![Change::Put(job(3, 1))]), Some(3));
+        assert!(matches!(told.recv().unwrap(), Outcome::Failed(_)));
+        // The thread has ended: it takes no more, and does not try again.
+        while committer.queue(vec![Change::Put(job(4, 1))]).is_some() {
+            std::thread::yield_now();
+        }
+        committer.end();
+        assert_eq!(load(&file).unwrap().jobs.len(), written, "{fault:?}");
+    }
+}
+
+#[test]
+fn a_slow_disk_fills_the_queue_and_what_waits_goes_in_one_commit() {
+    let folder = tempfile::tempdir().unwrap();
+    let file = folder.path().join("jobs");
+    let slow = Fault::Slow(std::time::Duration::from_millis(300));
+    let store = Faulty::new(Disk::open(&file).unwrap(), [slow]);
+    let (tell, told) = channel();
+    let mut committer = Committer::start(store, 4, 100, move |outcome| tell.send(outcome).unwrap());
+    // The first is taken off the queue at once or not yet; beyond that four fit.
+    let mut taken = 0;
+    while taken < 20 && committer.queue(vec![Change::Put(job(taken + 1, 1))]).is_some() {
+        taken += 1;
+    }
+    assert!(taken < 20, "no bound");
+    committer.end();
+    let outcomes: Vec<_> = told.iter().collect();
+    assert_eq!(*outcomes.last().unwrap(), Outcome::Durable(taken));
+    assert!(outcomes.len() < taken as usize, "one commit a step: {outcomes:?}");
+    assert_eq!(load(&file).unwrap().jobs.len() as u64, taken);
+}
+
+/// Kills a process that commits as fast as it can: whatever it told is there, and a prefix of the rest.
+#[test]
+fn a_kill_in_the_midst_of_commits_keeps_all_that_was_told() {
+    const FILE: &str = "SABLERUN_STORE_TEST_FILE";
+    if let Ok(file) = std::env::var(FILE) {
+        let mut disk = Disk::open(Path::new(&file)).unwrap();
+        let first = disk.load().unwrap().next;
+        for id in first..first + 100_000 {
+            disk.commit(&[Change::Put(job(id, 300)), Change::Put(job(id, 301))]).unwrap();
+            println!("durable {id}");
+        }
+        return;
+    }
+    let folder = tempfile::tempdir().unwrap();
+    let file = folder.path().join("jobs");
+    for round in 1..=6 {
+        let mut child = Command::new(std::env::current_exe().unwrap())
+            .args(["a_kill_in_the_midst", "--nocapture"])
+            .env(FILE, &file)
+            .stdout(Stdio::piped())
+            .stderr(Stdio::null())
+            .spawn()
+            .unwrap();
+        let mut lines = BufReader::new(child.stdout.take().unwrap()).lines();
+        let told = |line: &String| line.strip_prefix("durable ").and_then(|id| id.parse::<u64>().ok());
+        let mut last = 0;
+        for line in lines.by_ref().map_while(Result::ok).filter_map(|line| told(&line)).take(20 + round * 7) {
+            last = line;
+        }
+        child.kill().unwrap();
+        child.wait().unwrap();
+        last = lines.map_while(Result::ok).filter_map(|line| told(&line)).last().unwrap_or(last);
+        let loaded = load(&file).unwrap();
+        assert!(loaded.next > last && loaded.next <= last + 2, "told {last}, held below {}", loaded.next);
+        let ids: Vec<_> = loaded.jobs.iter().map(|job| job.id.0).collect();
+        assert_eq!(ids, (1..loaded.next).collect::<Vec<_>>());
+        assert!(loaded.jobs.iter().all(|job| job.body.len() == 301), "half a commit");
+    }
+}
