Add sablerun jobs: list, show, retry, export and verify a store of durable jobs

Change: a store keeps the names of members and classes with numbers of its own; sablerun jobs looks at a store that no dispatcher has open, and lets dead jobs be tried again through the ledger. verify checks the file, each record and each invariant. A file mistyped makes no new store; what workers said is escaped.

Found by its test: reviving a job also forgot what had expired, which is not the command's to do.

--- a/ledger/src/lib.rs
+++ b/ledger/src/lib.rs
@@ -54,6 +54,23 @@
     pub hold_off: Span,
 }
 
+impl Default for Rules {
+    fn default() -> Rules {
+        Rules {
+            jobs: 1_000_000,
+            member: 500_000,
+            body: 64 * 1024,
+            leased: 256,
+            backoff: Span::from_secs(0.5),
+            backoff_most: Span::from_secs(300.0),
+            lease: [Span::from_secs(1.0), Span::from_secs(86_400.0)],
+            recover_per_s: 50.0,
+            remember: Span::from_secs(3600.0),
+            hold_off: Span::from_secs(1.0),
+        }
+    }
+}
+
 /// A job as it is handed in.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Submission {
--- a/node/src/cli.rs
+++ b/node/src/cli.rs
@@ -16,6 +16,7 @@
   NODE_CONFIG=config.json sablerun run --config deploy/gateway.toml --log json
   NODE_CONFIG=config.json sablerun check --config deploy/keys.toml
   sablerun keys /var/lib/sablerun/keys.snapshot --json
+  sablerun jobs verify /var/lib/sablerun/jobs
 
 Exit codes: 0 done, 1 it could not be done (one line says why), 2 the command line makes no sense.";
 
@@ -37,6 +38,8 @@
     Check(Check),
     /// Show what a snapshot of the keys holds.
     Keys(Keys),
+    /// Look at a store of durable jobs, and retry dead ones, while no dispatcher has it open.
+    Jobs(crate::jobs_cli::Jobs),
 }
 
 #[derive(Clone, Debug, Default, Args)]
--- /dev/null
+++ b/node/src/jobs_cli.rs
@@ -0,0 +1,315 @@
+//! `sablerun jobs`: looks at a store of durable jobs while no dispatcher has it open, and changes the one
+//! thing that only an operator may: a dead job is tried again. It owns the tables and the words; what may
+//! become of a job is the ledger's to say, and every change goes through it.
+
+use clap::{Args, Subcommand, ValueEnum};
+use sablerun as sr;
+use sablerun_ledger::{Change, Input, Job, JobId, Ledger, Rules, State};
+use sablerun_store::{Disk, Durable, Loaded, StoreError};
+use serde_json::{Value, json};
+use std::io::{self, Write};
+use std::path::{Path, PathBuf};
+use std::time::{SystemTime, UNIX_EPOCH};
+
+#[derive(Debug, Args)]
+pub struct Jobs {
+    #[command(subcommand)]
+    what: What,
+}
+
+#[derive(Debug, Subcommand)]
+enum What {
+    /// List jobs, the newest first.
+    List(List),
+    /// List the jobs that are out of tries, with what they said last.
+    Dead {
+        /// The store's file.
+        file: PathBuf,
+        /// Print one JSON array.
+        #[arg(long)]
+        json: bool,
+    },
+    /// Show one job whole.
+    Show {
+        /// The store's file.
+        file: PathBuf,
+        /// The job's number.
+        id: u64,
+    },
+    /// Let dead jobs be tried again, with all their tries.
+    Retry {
+        /// The store's file.
+        file: PathBuf,
+        /// The jobs' numbers.
+        #[arg(required = true)]
+        ids: Vec<u64>,
+    },
+    /// Print every job as a JSON object on a line of its own.
+    Export {
+        /// The store's file.
+        file: PathBuf,
+    },
+    /// Check the file, every record and every invariant; exits 1 if one does not hold.
+    Verify {
+        /// The store's file.
+        file: PathBuf,
+        /// Print one JSON object.
+        #[arg(long)]
+        json: bool,
+    },
+}
+
+#[derive(Debug, Args)]
+struct List {
+    /// The store's file.
+    file: PathBuf,
+    /// Only those that stand so.
+    #[arg(long, value_enum)]
+    state: Option<Standing>,
+    /// Only this member's.
+    #[arg(long)]
+    member: Option<String>,
+    /// Only this class's.
+    #[arg(long)]
+    class: Option<String>,
+    /// So many at the most.
+    #[arg(long, default_value_t = 20, value_name = "N")]
+    most: usize,
+    /// Print one JSON array.
+    #[arg(long)]
+    json: bool,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, ValueEnum)]
+enum Standing {
+    Waiting,
+    Leased,
+    Completed,
+    Dead,
+    Cancelled,
+}
+
+impl Standing {
+    fn of(job: &Job) -> Standing {
+        match job.state {
+            State::Waiting { .. } => Standing::Waiting,
+            State::Leased { .. } => Standing::Leased,
+            State::Completed { .. } => Standing::Completed,
+            State::Dead { .. } => Standing::Dead,
+            State::Cancelled { .. } => Standing::Cancelled,
+        }
+    }
+
+    fn word(self) -> &'static str {
+        match self {
+            Standing::Waiting => "waiting",
+            Standing::Leased => "leased",
+            Standing::Completed => "completed",
+            Standing::Dead => "dead",
+            Standing::Cancelled => "cancelled",
+        }
+    }
+}
+
+fn now() -> sr::Time {
+    sr::Time(SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_nanos() as u64)
+}
+
+/// Does what is asked for. All text goes out as it is made: a reader may have seen enough.
+pub fn run(jobs: &Jobs) -> Result<(), String> {
+    let done = match &jobs.what {
+        What::List(list) => {
+            let (_, loaded) = open(&list.file)?;
+            let wanted = |job: &&Job| {
+                let is = |want: &Option<String>, number| {
+                    want.as_deref().is_none_or(|w| w == name(&loaded, number))
+                };
+                list.state.is_none_or(|state| state == Standing::of(job))
+                    && is(&list.member, job.member)
+                    && is(&list.class, job.class)
+            };
+            let all: Vec<_> = loaded.jobs.iter().rev().filter(wanted).take(list.most).collect();
+            print_list(&loaded, &all, list.json)
+        }
+        What::Dead { file, json } => {
+            let (_, loaded) = open(file)?;
+            let dead = |job: &&Job| Standing::of(job) == Standing::Dead;
+            let all: Vec<_> = loaded.jobs.iter().rev().filter(dead).collect();
+            print_list(&loaded, &all, *json)
+        }
+        What::Show { file, id } => {
+            let (_, loaded) = open(file)?;
+            let job = loaded.jobs.iter().find(|job| job.id.0 == *id);
+            let job = job.ok_or_else(|| unknown(*id, file))?;
+            writeln!(io::stdout(), "{:#}", whole(&loaded, job))
+        }
+        What::Retry { file, ids } => {
+            let revived = retry(file, ids)?;
+            writeln!(
+                io::stdout(),
+                "{revived} to be tried again when a dispatcher next opens {}",
+                file.display()
+            )
+        }
+        What::Export { file } => {
+            let (_, loaded) = open(file)?;
+            let mut out = io::BufWriter::new(io::stdout().lock());
+            let lines = loaded.jobs.iter().try_for_each(|job| writeln!(out, "{}", whole(&loaded, job)));
+            lines.and_then(|()| out.flush())
+        }
+        What::Verify { file, json } => {
+            let (_, loaded) = open(file)?;
+            let broken = verify(&loaded);
+            let told = if *json {
+                writeln!(io::stdout(), "{}", json!({"jobs": loaded.jobs.len(), "broken": broken}))
+            } else {
+                broken.iter().try_for_each(|what| writeln!(io::stdout(), "{what}")).and_then(|()| {
+                    let count = broken.len();
+                    writeln!(io::stdout(), "{} jobs, {count} invariants broken", loaded.jobs.len())
+                })
+            };
+            if !broken.is_empty() {
+                quiet(told)?;
+                return Err(format!("{}: not as it should be; export what can be read", file.display()));
+            }
+            told
+        }
+    };
+    quiet(done)
+}
+
+fn quiet(written: io::Result<()>) -> Result<(), String> {
+    match written {
+        Err(e) if e.kind() != io::ErrorKind::BrokenPipe => Err(format!("standard output: {e}")),
+        _ => Ok(()),
+    }
+}
+
+fn unknown(id: u64, file: &Path) -> String {
+    format!("{id}: no such job in {}; `sablerun jobs list` shows those that there are", file.display())
+}
+
+/// Opens a store that is there: a name mistyped must not make a new one.
+fn open(file: &Path) -> Result<(Disk, Loaded), String> {
+    let told = |e: StoreError| format!("{}: {e}", file.display());
+    if !file.is_file() {
+        return Err(format!("{}: no such file", file.display()));
+    }
+    let mut disk = Disk::open(file).map_err(told)?;
+    let loaded = disk.load().map_err(told)?;
+    Ok((disk, loaded))
+}
+
+fn name(loaded: &Loaded, number: u32) -> String {
+    loaded.names.get(number as usize).cloned().unwrap_or_else(|| format!("#{number}"))
+}
+
+fn text(bytes: &[u8]) -> String {
+    String::from_utf8_lossy(bytes).into_owned()
+}
+
+/// A job as JSON, with all that is known of it.
+fn whole(loaded: &Loaded, job: &Job) -> Value {
+    let (at, result) = match &job.state {
+        State::Waiting { at } | State::Dead { at } | State::Cancelled { at } => (*at, None),
+        State::Leased { until } => (*until, None),
+        State::Completed { at, result } => (*at, Some(text(result))),
+    };
+    json!({
+        "id": job.id.0,
+        "member": name(loaded, job.member),
+        "class": name(loaded, job.class),
+        "key": job.key.as_ref().map(|key| text(key)),
+        "state": Standing::of(job).word(),
+        "state_time_unix_ns": at.0,
+        "accepted_unix_ns": job.accepted.0,
+        "lease_s": job.lease.secs(),
+        "tries": job.tries,
+        "most_tries": job.most,
+        "epoch": job.epoch.0,
+        "error": job.error,
+        "result": result,
+        "body": text(&job.body),
+    })
+}
+
+fn print_list(loaded: &Loaded, jobs: &[&Job], json: bool) -> io::Result<()> {
+    let mut out = io::BufWriter::new(io::stdout().lock());
+    if json {
+        let all: Vec<_> = jobs.iter().map(|job| whole(loaded, job)).collect();
+        writeln!(out, "{}", Value::from(all))?;
+        return out.flush();
+    }
+    let now = now();
+    writeln!(
+        out,
+        "{:>8} {:<10} {:<14} {:<14} {:>5} {:>6} {:>9}  error",
+        "id", "state", "member", "class", "tries", "epoch", "age s"
+    )?;
+    for job in jobs {
+        // What a worker said may hold anything; a terminal must not.
+        let error = job.error.as_deref().unwrap_or("").escape_debug().to_string();
+        let short: String = error.chars().take(60).collect();
+        writeln!(
+            out,
+            "{:>8} {:<10} {:<14} {:<14} {:>2}/{:<2} {:>6} {:>9.1}  {short}",
+            job.id.0,
+            Standing::of(job).word(),
+            name(loaded, job.member),
+            name(loaded, job.class),
+            job.tries,
+            job.most,
+            job.epoch.0,
+            (now - job.accepted).secs()
+        )?;
+    }
+    out.flush()
+}
+
+fn retry(file: &Path, ids: &[u64]) -> Result<usize, String> {
+    let (mut disk, loaded) = open(file)?;
+    for id in ids {
+        let job = loaded.jobs.iter().find(|job| job.id.0 == *id).ok_or_else(|| unknown(*id, file))?;
+        if Standing::of(job) != Standing::Dead {
+            return Err(format!("{id}: is {}, and only a dead job is tried again", Standing::of(job).word()));
+        }
+    }
+    // No lease is given and nothing is forgotten here: who opens the store next does that.
+    let rules = Rules { leased: 0, remember: sr::Span(u64::MAX), ..Rules::default() };
+    let ledger = Ledger::load(rules, 0, now(), loaded.next, loaded.jobs);
+    let mut ledger = ledger.map_err(|e| format!("{}: {e}", file.display()))?;
+    let mut changes: Vec<Change> = Vec::new();
+    for id in ids {
+        changes.extend(ledger.step(now(), Input::Revive(JobId(*id))).changes);
+    }
+    disk.commit(&changes).map_err(|e| format!("{}: {e}", file.display()))?;
+    Ok(ids.len())
+}
+
+/// What does not hold, in words. That every record's checksum matches was seen when it was loaded.
+fn verify(loaded: &Loaded) -> Vec<String> {
+    let mut broken = Vec::new();
+    for job in &loaded.jobs {
+        let leased = Standing::of(job) == Standing::Leased;
+        let completed = Standing::of(job) == Standing::Completed;
+        for (holds, what) in [
+            (job.id.0 < loaded.next, "its number may be given again"),
+            (job.most > 0, "it may have no tries"),
+            (job.tries <= job.most, "it had more tries than it may have"),
+            (u64::from(job.tries) <= job.epoch.0, "it had more tries than leases"),
+            (!(leased || completed) || job.epoch.0 > 0, "it has a worker's state, and never had a lease"),
+            (!leased || job.tries > 0, "it is leased, and had no try"),
+            (Standing::of(job) != Standing::Dead || job.error.is_some(), "it is dead of nothing"),
+            ((job.member as usize) < loaded.names.len() || job.member == u32::MAX, "its member has no name"),
+            ((job.class as usize) < loaded.names.len(), "its class has no name"),
+        ] {
+            if !holds {
+                broken.push(format!("job {}: {what}", job.id.0));
+            }
+        }
+    }
+    if let Err(e) = Ledger::load(Rules::default(), 0, now(), loaded.next, loaded.jobs.clone()) {
+        broken.push(e.to_string());
+    }
+    broken
+}
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -3,6 +3,7 @@
 
 mod cli;
 mod core;
+mod jobs_cli;
 mod limits;
 mod logging;
 mod net;
@@ -67,6 +68,7 @@
         }
         Command::Check(args) => check(&args),
         Command::Keys(args) => cli::keys(&args),
+        Command::Jobs(args) => jobs_cli::run(&args),
     };
     match done {
         Ok(()) => ExitCode::SUCCESS,
--- a/store/src/disk.rs
+++ b/store/src/disk.rs
@@ -6,7 +6,10 @@
 //! file, found by turning bits): every call into it is fenced, and a panic becomes an error.
 
 use crate::{Durable, Loaded, StoreError};
-use redb::{Database, DatabaseError, ReadableDatabase, ReadableTable, StorageError, TableDefinition};
+use redb::{
+    Database, DatabaseError, ReadableDatabase, ReadableTable, ReadableTableMetadata, StorageError,
+    TableDefinition,
+};
 use sablerun_ledger::{Change, Job, JobId};
 use std::io::ErrorKind;
 use std::panic::{AssertUnwindSafe, catch_unwind};
@@ -16,6 +19,8 @@
 pub const SCHEMA: u64 = 1;
 
 const JOBS: TableDefinition<u64, &[u8]> = TableDefinition::new("jobs");
+/// Members' and classes' names: numbers of the settings change with their order, these never.
+const NAMES: TableDefinition<&str, u32> = TableDefinition::new("names");
 const FACTS: TableDefinition<&str, u64> = TableDefinition::new("facts");
 
 /// The store.
@@ -91,9 +96,39 @@
             }
             self.next = facts.get("next").map_err(any)?.map_or(1, |fact| fact.value());
             write.open_table(JOBS).map_err(any)?;
+            write.open_table(NAMES).map_err(any)?;
         }
         write.commit().map_err(any)
     }
+
+    /// The numbers that stand for these names here, new ones for new names.
+    ///
+    /// # Errors
+    ///
+    /// If new ones could not be made durable.
+    pub fn numbers(&mut self, names: &[&str]) -> Result<Vec<u32>, StoreError> {
+        fenced(|| {
+            let write = self.database()?.begin_write().map_err(any)?;
+            let mut numbers = Vec::with_capacity(names.len());
+            {
+                let mut table = write.open_table(NAMES).map_err(any)?;
+                for name in names {
+                    let known = table.get(name).map_err(any)?.map(|number| number.value());
+                    let number = match known {
+                        Some(number) => number,
+                        None => {
+                            let next = u32::try_from(table.len().map_err(any)?).unwrap_or(u32::MAX);
+                            table.insert(name, next).map_err(any)?;
+                            next
+                        }
+                    };
+                    numbers.push(number);
+                }
+            }
+            write.commit().map_err(any)?;
+            Ok(numbers)
+        })
+    }
 }
 
 impl Drop for Disk {
@@ -140,7 +175,17 @@
             let id = JobId(id.value());
             jobs.push(unpack(id, value.value())?);
         }
-        Ok(Loaded { next: self.next, jobs })
+        let table = read.open_table(NAMES).map_err(any)?;
+        let mut names = vec![String::new(); usize::try_from(table.len().map_err(any)?).unwrap_or(0)];
+        for entry in table.iter().map_err(any)? {
+            let (name, number) = entry.map_err(any)?;
+            let (name, number) = (name.value().to_owned(), number.value() as usize);
+            let Some(place) = names.get_mut(number) else {
+                return Err(StoreError::NoStore(format!("the name {name} has number {number}")));
+            };
+            *place = name;
+        }
+        Ok(Loaded { next: self.next, jobs, names })
     }
 
     fn commit_unfenced(&mut self, changes: &[Change]) -> Result<(), StoreError> {
--- a/store/src/lib.rs
+++ b/store/src/lib.rs
@@ -20,6 +20,8 @@
     pub next: u64,
     /// The jobs, by number.
     pub jobs: Vec<Job>,
+    /// The names of members and classes, by the numbers that jobs give them.
+    pub names: Vec<String>,
 }
 
 /// Where jobs are kept.
--- a/store/tests/disk.rs
+++ b/store/tests/disk.rs
@@ -38,11 +38,24 @@
     disk.commit(&[Change::Put(job(1, 10)), Change::Put(job(2, 60_000)), Change::Put(job(7, 0))]).unwrap();
     disk.commit(&[Change::Put(job(1, 20)), Change::Drop(JobId(2))]).unwrap();
     drop(disk);
-    assert_eq!(load(&file).unwrap(), Loaded { next: 8, jobs: vec![job(1, 20), job(7, 0)] });
+    let jobs = vec![job(1, 20), job(7, 0)];
+    assert_eq!(load(&file).unwrap(), Loaded { next: 8, jobs, names: vec![] });
     let mut disk = Disk::open(&file).unwrap();
     disk.commit(&[Change::Drop(JobId(1)), Change::Drop(JobId(7))]).unwrap();
     drop(disk);
-    assert_eq!(load(&file).unwrap(), Loaded { next: 8, jobs: vec![] });
+    assert_eq!(load(&file).unwrap(), Loaded { next: 8, jobs: vec![], names: vec![] });
+}
+
+#[test]
+fn names_keep_their_numbers_whatever_is_asked_for_next() {
+    let folder = tempfile::tempdir().unwrap();
+    let file = folder.path().join("jobs");
+    let mut disk = Disk::open(&file).unwrap();
+    assert_eq!(disk.numbers(&["mehran", "wave", "mehran"]).unwrap(), [0, 1, 0]);
+    drop(disk);
+    let mut disk = Disk::open(&file).unwrap();
+    assert_eq!(disk.numbers(&["pick", "wave", "mehran"]).unwrap(), [2, 1, 0]);
+    assert_eq!(disk.load().unwrap().names, ["mehran", "wave", "pick"]);
 }
 
 #[test]
