--- a/keys/src/store.rs
+++ b/keys/src/store.rs
@@ -65,15 +65,47 @@
     pub fate: Fate,
 }
 
+/// What is held, counted.
+#[derive(Default)]
+struct Held {
+    settled: usize,
+    bytes: usize,
+    /// Entries of each member, under way and settled.
+    members: HashMap<Member, usize, Hash>,
+}
+
+impl Held {
+    /// A key comes in.
+    fn enter(&mut self, member: Member, id: usize) {
+        self.bytes += OVERHEAD + id;
+        *self.members.entry(member).or_default() += 1;
+    }
+
+    /// A key goes.
+    fn leave(&mut self, member: Member, id: usize) {
+        self.bytes -= OVERHEAD + id;
+        if let Some(count) = self.members.get_mut(&member) {
+            *count -= 1;
+            if *count == 0 {
+                self.members.remove(&member);
+            }
+        }
+    }
+
+    /// A settled key goes, and its result.
+    fn drop(&mut self, id: &Id, held: &Settled) {
+        self.settled -= 1;
+        self.bytes -= held.result.as_ref().map_or(0, Bytes::len);
+        self.leave(member_of(id), id.len());
+    }
+}
+
 /// The store.
 pub struct Store {
     bounds: Bounds,
     classes: Vec<Class>,
     under_way: HashMap<Id, UnderWay, Hash>,
-    /// Entries of each member, under way and settled.
-    members: HashMap<Member, usize, Hash>,
-    settled: usize,
-    bytes: usize,
+    held: Held,
     counts: Counts,
     /// The identity being looked up.
     scratch: Vec<u8>,
@@ -91,9 +123,7 @@
             bounds,
             classes: rules.into_iter().map(class).collect(),
             under_way: HashMap::default(),
-            members: HashMap::default(),
-            settled: 0,
-            bytes: 0,
+            held: Held::default(),
             counts: Counts::default(),
             scratch: Vec::new(),
         }
@@ -114,7 +144,7 @@
 
     /// Keys held.
     pub fn len(&self) -> usize {
-        self.under_way.len() + self.settled
+        self.under_way.len() + self.held.settled
     }
 
     /// Keys under way.
@@ -129,7 +159,7 @@
 
     /// Bytes held: keys, results and an overhead for each.
     pub fn bytes(&self) -> usize {
-        self.bytes
+        self.held.bytes
     }
 
     /// What has been counted so far.
@@ -183,7 +213,7 @@
             };
             // From settled to under way: it takes no more room than it has.
             let (id, held) = class.uncertain.remove_entry(id).expect("looked up above");
-            self.settled -= 1;
+            self.held.settled -= 1;
             self.counts.again += 1;
             self.under_way.insert(id, UnderWay { print: held.print, run, earlier: Some(sent) });
             return Admission::Again(sent);
@@ -200,13 +230,11 @@
         let class = &mut self.classes[asked.class as usize];
         for lane in [&mut class.served, &mut class.uncertain] {
             if let Some((id, held)) = lane.remove_entry(self.scratch.as_slice()) {
-                self.settled -= 1;
-                uncount(&mut self.bytes, &mut self.members, &id, &held);
+                self.held.drop(&id, &held);
             }
         }
         self.counts.began += 1;
-        self.bytes += need;
-        *self.members.entry(asked.member).or_default() += 1;
+        self.held.enter(asked.member, self.scratch.len());
         let begun = UnderWay { print: asked.print, run, earlier: None };
         self.under_way.insert(self.scratch.as_slice().into(), begun);
         Admission::New
@@ -224,8 +252,7 @@
             // This try never ran, but the earlier one may have.
             (Fate::NeverRan, Some(earlier)) => (None, Some(earlier)),
             (Fate::NeverRan, None) => {
-                self.bytes -= OVERHEAD + id.len();
-                leave(&mut self.members, member);
+                self.held.leave(member, id.len());
                 return;
             }
         };
@@ -239,36 +266,35 @@
                 self.counts.results_dropped += 1;
                 settled.result = None;
             } else {
-                self.bytes += size;
+                self.held.bytes += size;
             }
         }
-        self.settled += 1;
+        self.held.settled += 1;
         let class = &mut self.classes[class_of(&id) as usize];
         let lane = if settled.sent.is_some() { &mut class.uncertain } else { &mut class.served };
-        if let Some(before) = lane.insert(id, settled) {
-            // It was held already: a snapshot with a key twice.
-            self.settled -= 1;
-            self.bytes -= before.result.map_or(0, |result| result.len());
-        }
+        lane.insert(id, settled);
     }
 
     /// Whether there is room for so many more entries and bytes, once what may go has gone.
     fn fits(&mut self, now: Time, entries: usize, bytes: usize) -> bool {
+        let fit = |store: &Store| {
+            store.len() + entries <= store.bounds.entries && store.bytes() + bytes <= store.bounds.bytes
+        };
         for _ in 0..STRIDE {
-            if self.len() + entries <= self.bounds.entries && self.bytes + bytes <= self.bounds.bytes {
+            if fit(self) {
                 return true;
             }
             if !self.drop_oldest(now) {
                 return false;
             }
         }
-        self.len() + entries <= self.bounds.entries && self.bytes + bytes <= self.bounds.bytes
+        fit(self)
     }
 
     /// When a newcomer that finds no room may come back.
     fn no_room(&mut self, now: Time, member: Member, need: usize) -> Option<Span> {
         self.expire(now, 2);
-        let held = |store: &Store| store.members.get(&member).copied().unwrap_or(0);
+        let held = |store: &Store| store.held.members.get(&member).copied().unwrap_or(0);
         if held(self) >= self.bounds.member {
             self.expire(now, STRIDE);
             if held(self) >= self.bounds.member {
@@ -283,13 +309,19 @@
         None
     }
 
-    /// Until the oldest settled key is outside its window.
-    fn wait(&self, now: Time) -> Span {
-        let ends = self.classes.iter().flat_map(|class| {
+    /// The settled key whose window ends first: when, its class, and its lane (0: served).
+    fn first_end(&self) -> Option<(Time, usize, usize)> {
+        let ends = self.classes.iter().enumerate().flat_map(|(number, class)| {
             let fronts = [class.served.front(), class.uncertain.front()];
-            fronts.into_iter().flatten().map(|(_, held)| held.at + class.rule.window)
+            let end = move |(_, held): (&Id, &Settled)| held.at + class.rule.window;
+            fronts.into_iter().enumerate().filter_map(move |(l, f)| f.map(|f| (end(f), number, l)))
         });
-        let left = ends.min().map_or(Span(0), |end| end - now);
+        ends.min()
+    }
+
+    /// Until the oldest settled key is outside its window.
+    fn wait(&self, now: Time) -> Span {
+        let left = self.first_end().map_or(Span(0), |(end, ..)| end - now);
         if left.0 == 0 { self.bounds.hold_off } else { left }
     }
 
@@ -301,8 +333,7 @@
             for (lane, kept) in [(&mut class.served, window), (&mut class.uncertain, keep)] {
                 while dropped < most && lane.front().is_some_and(|(_, held)| held.at + kept <= now) {
                     let (id, held) = lane.pop_front().expect("looked at above");
-                    self.settled -= 1;
-                    uncount(&mut self.bytes, &mut self.members, &id, &held);
+                    self.held.drop(&id, &held);
                     dropped += 1;
                 }
             }
@@ -312,20 +343,14 @@
 
     /// Drops the settled key whose window ended first; none is inside its window.
     fn drop_oldest(&mut self, now: Time) -> bool {
-        let ends = self.classes.iter().enumerate().flat_map(|(number, class)| {
-            let fronts = [class.served.front(), class.uncertain.front()];
-            let end = move |(_, held): (&Id, &Settled)| held.at + class.rule.window;
-            fronts.into_iter().enumerate().filter_map(move |(l, f)| f.map(|f| (end(f), number, l)))
-        });
-        let Some((_, number, lane)) = ends.filter(|(end, ..)| *end <= now).min() else { return false };
+        let Some((_, number, lane)) = self.first_end().filter(|(end, ..)| *end <= now) else { return false };
         let class = &mut self.classes[number];
         let lane = if lane == 0 { &mut class.served } else { &mut class.uncertain };
         let (id, held) = lane.pop_front().expect("its front was looked at");
-        self.settled -= 1;
         if held.sent.is_some() {
             self.counts.forgotten += 1;
         }
-        uncount(&mut self.bytes, &mut self.members, &id, &held);
+        self.held.drop(&id, &held);
         true
     }
 
@@ -387,7 +412,9 @@
             };
             identity(&mut self.scratch, record.member, record.class, key);
             let need = OVERHEAD + self.scratch.len();
-            if self.bytes + need > self.bounds.bytes || self.under_way.contains_key(self.scratch.as_slice()) {
+            if self.held.bytes + need > self.bounds.bytes
+                || self.under_way.contains_key(self.scratch.as_slice())
+            {
                 continue;
             }
             let known = self.classes[record.class as usize].served.contains_key(self.scratch.as_slice())
@@ -395,8 +422,7 @@
             if known {
                 continue;
             }
-            self.bytes += need;
-            *self.members.entry(record.member).or_default() += 1;
+            self.held.enter(record.member, self.scratch.len());
             let id: Id = self.scratch.as_slice().into();
             self.keep(now, id, Settled { print: record.print, at, result, sent });
             taken += 1;
@@ -419,17 +445,3 @@
 fn class_of(id: &Id) -> u32 {
     u32::from_le_bytes([id[4], id[5], id[6], id[7]])
 }
-
-fn leave(members: &mut HashMap<Member, usize, Hash>, member: Member) {
-    if let Some(count) = members.get_mut(&member) {
-        *count -= 1;
-        if *count == 0 {
-            members.remove(&member);
-        }
-    }
-}
-
-fn uncount(bytes: &mut usize, members: &mut HashMap<Member, usize, Hash>, id: &Id, held: &Settled) {
-    *bytes -= OVERHEAD + id.len() + held.result.as_ref().map_or(0, Bytes::len);
-    leave(members, member_of(id));
-}
--- a/ledger/src/ledger.rs
+++ b/ledger/src/ledger.rs
@@ -118,7 +118,6 @@
                     *until = (*until).min(now + job.lease);
                     ledger.lost.insert(id);
                 }
-                State::Waiting { at } if *at <= now + ledger.rules.backoff_most => {}
                 State::Completed { at, .. } | State::Dead { at } | State::Cancelled { at } => {
                     *at = (*at).min(now)
                 }
@@ -135,11 +134,11 @@
                 ledger.all_open += 1;
             }
             ledger.leased += usize::from(matches!(job.state, State::Leased { .. }));
-            let (time, waiting) = ledger.time_of(&job);
-            ledger.times.insert((time, id));
-            if waiting && time <= now {
-                ledger.times.remove(&(time, id));
-                ledger.line_up(&job);
+            let time = ledger.time(&job.state);
+            if matches!(job.state, State::Waiting { .. }) && time <= now {
+                ledger.line_up((job.member, job.class), id);
+            } else {
+                ledger.times.insert((time, id));
             }
             if ledger.jobs.insert(id, job).is_some() {
                 return Err(LoadError::Number(id));
@@ -198,7 +197,7 @@
             Input::Completed(id, epoch, result) => {
                 if self.holder(id, epoch, &mut step).is_some() {
                     self.counts.completed += 1;
-                    self.settle(now, id, State::Completed { at: now, result }, &mut step);
+                    self.settle(id, State::Completed { at: now, result }, &mut step);
                 }
             }
             Input::Failed(id, epoch, error) => {
@@ -225,7 +224,6 @@
 
     fn submit(&mut self, now: Time, submission: Submission, step: &mut Step) {
         let ticket = submission.ticket;
-        let refusal = self.refusal(&submission);
         let key = submission.key.clone().map(|key| (submission.member, submission.class, key));
         if let Some(&id) = key.as_ref().and_then(|key| self.keys.get(key)) {
             if self.jobs.get(&id).is_some_and(|job| job.body == submission.body) {
@@ -237,7 +235,7 @@
             }
             return;
         }
-        if let Some(refusal) = refusal {
+        if let Some(refusal) = self.refusal(&submission) {
             self.counts.refused += 1;
             step.then.push(Effect::Refused(ticket, refusal));
             return;
@@ -269,7 +267,7 @@
         self.all_open += 1;
         step.changes.push(Change::Put(job.clone()));
         step.then.push(Effect::Accepted(ticket, id));
-        self.times.insert((self.time_of(&job).0, id));
+        self.times.insert((self.time(&job.state), id));
         self.jobs.insert(id, job);
     }
 
@@ -308,7 +306,7 @@
         job.error = Some(error);
         if job.tries >= job.most {
             self.counts.dead += 1;
-            self.settle(now, id, State::Dead { at: now }, step);
+            self.settle(id, State::Dead { at: now }, step);
             return;
         }
         // Doubling, with full jitter: what failed together does not come back together.
@@ -347,19 +345,17 @@
         }
     }
 
-    fn time_of(&self, job: &Job) -> (Time, bool) {
-        (self.time(&job.state), matches!(job.state, State::Waiting { .. }))
-    }
-
     /// A job comes to its end.
-    fn settle(&mut self, _now: Time, id: JobId, state: State, step: &mut Step) {
+    fn settle(&mut self, id: JobId, state: State, step: &mut Step) {
         self.retime(id, state);
         self.lost.remove(&id);
         let Some(job) = self.jobs.get(&id) else { return };
         if let Some(open) = self.open.get_mut(&job.member) {
             *open -= 1;
+            if *open == 0 {
+                self.open.remove(&job.member);
+            }
         }
-        self.open.retain(|_, open| *open > 0);
         self.all_open -= 1;
         step.changes.push(Change::Put(job.clone()));
         step.then.push(Effect::Settled(id));
@@ -369,7 +365,7 @@
         let Some(job) = self.jobs.get(&id).filter(|job| job.state.settled().is_none()) else { return };
         let (epoch, leased) = (job.epoch, matches!(job.state, State::Leased { .. }));
         self.counts.cancelled += 1;
-        self.settle(now, id, State::Cancelled { at: now }, step);
+        self.settle(id, State::Cancelled { at: now }, step);
         if leased {
             step.then.push(Effect::Stop(id, epoch));
         }
@@ -385,13 +381,12 @@
         self.wait(now, id, now, step);
     }
 
-    fn line_up(&mut self, job: &Job) {
-        let line = (job.member, job.class);
+    fn line_up(&mut self, line: Line, id: JobId) {
         let jobs = self.lines.entry(line).or_default();
         if jobs.is_empty() {
             self.turns.push_back(line);
         }
-        jobs.push_back(job.id);
+        jobs.push_back(id);
     }
 
     /// A line's next turn, if anything stands in it.
@@ -412,8 +407,8 @@
             let Some(job) = self.jobs.get(&id) else { continue };
             match job.state {
                 State::Waiting { .. } => {
-                    let job = job.clone();
-                    self.line_up(&job);
+                    let line = (job.member, job.class);
+                    self.line_up(line, id);
                 }
                 State::Leased { .. } => {
                     self.counts.expired += 1;
--- a/node/src/cli.rs
+++ b/node/src/cli.rs
@@ -3,12 +3,13 @@
 //! change a file.
 
 use crate::operator::Operator;
+use crate::runtime::unix_now;
 use clap::{Args, Parser, Subcommand, ValueEnum};
+use sablerun as sr;
 use sablerun_keys::{Fate, Member, Snapshot};
 use serde_json::json;
 use std::io::{self, Write};
 use std::path::{Path, PathBuf};
-use std::time::{SystemTime, UNIX_EPOCH};
 
 const EXAMPLES: &str = "\
 Examples:
@@ -115,8 +116,8 @@
     let snapshot = Snapshot::decode(&bytes).map_err(|e| {
         format!("{}: {e}; the dispatcher would start without it and set it aside", args.file.display())
     })?;
-    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_nanos() as u64;
-    let age = |at: u64| now.saturating_sub(at) as f64 / 1e9;
+    let now = unix_now();
+    let age = |at: sr::Time| (now - at).secs();
     let name = |names: &[String], number: u32| names.get(number as usize).cloned();
     let class_of = |number| name(&snapshot.names.classes, number).unwrap_or_else(|| number.to_string());
     let member_of = |member: Member| match member {
@@ -139,10 +140,10 @@
         };
         // Keys may hold anything; a terminal must not.
         let key = String::from_utf8_lossy(&record.key).escape_debug().to_string();
-        (member_of(record.member), class_of(record.class), state, zone, bytes, age(record.at.0), key)
+        (member_of(record.member), class_of(record.class), state, zone, bytes, age(record.at), key)
     });
     let mut out = io::stdout().lock();
-    let head = (age(snapshot.made.0), snapshot.last, count(true), count(false));
+    let head = (age(snapshot.made), snapshot.last, count(true), count(false));
     if args.json {
         let rows: Vec<_> = rows
             .map(|(member, class, state, zone, bytes, age, key)| {
@@ -174,7 +175,7 @@
 }
 
 /// A reader that has seen enough (`| head`) is no error.
-fn quiet(written: io::Result<()>) -> Result<(), String> {
+pub fn quiet(written: io::Result<()>) -> Result<(), String> {
     match written {
         Err(e) if e.kind() != io::ErrorKind::BrokenPipe => Err(format!("standard output: {e}")),
         _ => Ok(()),
--- a/node/src/core.rs
+++ b/node/src/core.rs
@@ -238,10 +238,8 @@
     stop: Option<sr::Time>,
     /// The clients' keys, where they are kept.
     keys: Option<keys::Store>,
-    /// Where a repeat of a class is dropped, by class; `None` where it may not be repeated at all.
-    groups: Vec<Option<sr::Group>>,
-    /// Whether a repeat of a class may do harm, by class.
-    harmful: Vec<bool>,
+    /// What a repeat may do, by class.
+    effects_of: Vec<sr::Effect>,
     /// Where runners stand, by number.
     places: HashMap<u32, keys::Place>,
     most_hold_off: sr::Span,
@@ -269,14 +267,9 @@
         most: usize,
     ) -> Result<Core<J>, sr::SettingsError> {
         let shortest = settings.classes.iter().map(|class| class.objective).min();
-        let group = |class: &sr::Class| match class.effect {
-            sr::Effect::Keyed(group) => Some(group),
-            sr::Effect::Safe | sr::Effect::Unsafe => None,
-        };
         Ok(Core {
             keys: None,
-            groups: settings.classes.iter().map(group).collect(),
-            harmful: settings.classes.iter().map(|class| class.effect != sr::Effect::Safe).collect(),
+            effects_of: settings.classes.iter().map(|class| class.effect).collect(),
             places: HashMap::new(),
             most_hold_off: settings.max_hold_off,
             hold_off: settings.max_hold_off.min(shortest.unwrap_or_default()),
@@ -306,7 +299,8 @@
 
     /// Whether a client's key counts for this class: where a repeat may do harm.
     pub fn wants_key(&self, class: u32) -> bool {
-        self.keys.is_some() && self.harmful.get(class as usize).copied().unwrap_or(false)
+        let effect = self.effects_of.get(class as usize);
+        self.keys.is_some() && effect.is_some_and(|effect| *effect != sr::Effect::Safe)
     }
 
     /// The keys, where they are kept.
@@ -408,29 +402,9 @@
                     prior = Some(sr::Prior { zone: place.zone(), cell: place.cell, sent: sent.first });
                 }
                 keys::Admission::Join(run) => return self.join(now, run.0 as u32, ticket, deadline),
-                keys::Admission::HandBack(result) => return self.at_once(ticket, Answer::Served(result)),
-                keys::Admission::Full(wait) => {
-                    return self.at_once(ticket, Answer::Refused(wait.min(self.most_hold_off)));
-                }
-                keys::Admission::Spent => {
-                    let why = "an earlier try under this key may have run, and a repeat could run again";
-                    return self.at_once(ticket, Answer::Failed(why));
-                }
-                keys::Admission::NotKept => {
-                    let why = "an earlier try under this key was served, but its result was not kept";
-                    return self.at_once(ticket, Answer::Failed(why));
-                }
-                keys::Admission::Unknown => {
-                    let why = "an earlier try may have run before this dispatcher started";
-                    return self.at_once(ticket, Answer::Failed(why));
-                }
-                keys::Admission::Conflict => {
-                    let why = "the idempotency key stands for another request: its path or body differs";
-                    return self.at_once(ticket, Answer::Unfit(why));
-                }
-                keys::Admission::BadKey => {
-                    let why = "the idempotency key is empty or too long";
-                    return self.at_once(ticket, Answer::Unfit(why));
+                other => {
+                    let answer = self.turned(other);
+                    return self.at_once(ticket, answer);
                 }
             }
         }
@@ -457,19 +431,37 @@
         self.tell(now, sr::Event::Arrival(arrival));
     }
 
-    /// Answers a ticket that never waited.
-    fn at_once(&mut self, ticket: Ticket, answer: Answer) {
-        self.count(&answer);
-        self.effects.push(Effect::Answer(ticket, answer));
+    /// The answer to a request whose key lets it neither begin nor join.
+    fn turned(&self, admission: keys::Admission) -> Answer {
+        use keys::Admission::*;
+        match admission {
+            HandBack(result) => Answer::Served(result),
+            Full(wait) => Answer::Refused(wait.min(self.most_hold_off)),
+            Spent => {
+                Answer::Failed("an earlier try under this key may have run, and a repeat could run again")
+            }
+            NotKept => {
+                Answer::Failed("an earlier try under this key was served, but its result was not kept")
+            }
+            Conflict => {
+                Answer::Unfit("the idempotency key stands for another request: its path or body differs")
+            }
+            BadKey => Answer::Unfit("the idempotency key is empty or too long"),
+            Unknown => Answer::Failed("an earlier try may have run before this dispatcher started"),
+            // Those begin or join: nobody is turned away by them.
+            New | Again(_) | Join(_) => Answer::Failed("an earlier try under this key has just ended"),
+        }
     }
 
-    fn count(&mut self, answer: &Answer) {
+    /// Answers a ticket, which waits no more.
+    fn at_once(&mut self, ticket: Ticket, answer: Answer) {
         match answer {
             Answer::Served(_) => self.tally.served += 1,
             Answer::Refused(_) => self.tally.refused += 1,
             Answer::Failed(_) => self.tally.failed += 1,
             Answer::Unfit(_) => self.tally.unfit += 1,
         }
+        self.effects.push(Effect::Answer(ticket, answer));
     }
 
     /// A repeat waits for the answer of the request under way, each client by its own deadline.
@@ -507,10 +499,10 @@
         let sent = ran.map(|attempt| {
             let place = self.places.get(&attempt.runner).copied().map(|place| {
                 // Only as much of it as tells halls apart that drop a repeat for each other.
-                match self.groups[request.class as usize] {
-                    Some(sr::Group::All) => keys::Place { zone: 0, cell: 0 },
-                    Some(sr::Group::Zone) => keys::Place { cell: 0, ..place },
-                    Some(sr::Group::Cell) | None => place,
+                match self.effects_of[request.class as usize] {
+                    sr::Effect::Keyed(sr::Group::All) => keys::Place { zone: 0, cell: 0 },
+                    sr::Effect::Keyed(sr::Group::Zone) => keys::Place { cell: 0, ..place },
+                    sr::Effect::Keyed(sr::Group::Cell) | sr::Effect::Safe | sr::Effect::Unsafe => place,
                 }
             });
             keys::Sent::once(place, attempt.sent)
--- a/node/src/jobs_cli.rs
+++ b/node/src/jobs_cli.rs
@@ -2,6 +2,8 @@
 //! thing that only an operator may: a dead job is tried again. It owns the tables and the words; what may
 //! become of a job is the ledger's to say, and every change goes through it.
 
+use crate::cli::quiet;
+use crate::runtime::unix_now;
 use clap::{Args, Subcommand, ValueEnum};
 use sablerun as sr;
 use sablerun_ledger::{Change, Input, Job, JobId, Ledger, Rules, State};
@@ -9,7 +11,6 @@
 use serde_json::{Value, json};
 use std::io::{self, Write};
 use std::path::{Path, PathBuf};
-use std::time::{SystemTime, UNIX_EPOCH};
 
 #[derive(Debug, Args)]
 pub struct Jobs {
@@ -111,10 +112,6 @@
     }
 }
 
-fn now() -> sr::Time {
-    sr::Time(SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_nanos() as u64)
-}
-
 /// Does what is asked for. All text goes out as it is made: a reader may have seen enough.
 pub fn run(jobs: &Jobs) -> Result<(), String> {
     let done = match &jobs.what {
@@ -178,13 +175,6 @@
     quiet(done)
 }
 
-fn quiet(written: io::Result<()>) -> Result<(), String> {
-    match written {
-        Err(e) if e.kind() != io::ErrorKind::BrokenPipe => Err(format!("standard output: {e}")),
-        _ => Ok(()),
-    }
-}
-
 fn unknown(id: u64, file: &Path) -> String {
     format!("{id}: no such job in {}; `sablerun jobs list` shows those that there are", file.display())
 }
@@ -240,7 +230,7 @@
         writeln!(out, "{}", Value::from(all))?;
         return out.flush();
     }
-    let now = now();
+    let now = unix_now();
     writeln!(
         out,
         "{:>8} {:<10} {:<14} {:<14} {:>5} {:>6} {:>9}  error",
@@ -276,11 +266,11 @@
     }
     // No lease is given and nothing is forgotten here: who opens the store next does that.
     let rules = Rules { leased: 0, remember: sr::Span(u64::MAX), ..Rules::default() };
-    let ledger = Ledger::load(rules, 0, now(), loaded.next, loaded.jobs);
+    let ledger = Ledger::load(rules, 0, unix_now(), loaded.next, loaded.jobs);
     let mut ledger = ledger.map_err(|e| format!("{}: {e}", file.display()))?;
     let mut changes: Vec<Change> = Vec::new();
     for id in ids {
-        changes.extend(ledger.step(now(), Input::Revive(JobId(*id))).changes);
+        changes.extend(ledger.step(unix_now(), Input::Revive(JobId(*id))).changes);
     }
     disk.commit(&changes).map_err(|e| format!("{}: {e}", file.display()))?;
     Ok(ids.len())
@@ -308,7 +298,7 @@
             }
         }
     }
-    if let Err(e) = Ledger::load(Rules::default(), 0, now(), loaded.next, loaded.jobs.clone()) {
+    if let Err(e) = Ledger::load(Rules::default(), 0, unix_now(), loaded.next, loaded.jobs.clone()) {
         broken.push(e.to_string());
     }
     broken
--- a/node/src/runtime.rs
+++ b/node/src/runtime.rs
@@ -50,6 +50,11 @@
     }
 }
 
+/// The system's time, since the Unix epoch.
+pub fn unix_now() -> sr::Time {
+    sr::Time(SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_nanos() as u64)
+}
+
 /// The program's clock: monotonic, and at its start the system's, so that other machines' times can
 /// be read on it.
 pub struct Clock {
@@ -59,8 +64,7 @@
 
 impl Clock {
     pub fn new() -> Clock {
-        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        Clock { started: Instant::now(), unix: unix.as_nanos() as u64 }
+        Clock { started: Instant::now(), unix: unix_now().0 }
     }
 
     pub fn now(&self) -> sr::Time {
--- a/node/tests/platform.rs
+++ b/node/tests/platform.rs
@@ -10,9 +10,16 @@
 use std::thread;
 
 fn one_runner() -> (Discovery, Runner, Program) {
+    one_runner_on(1024)
+}
+
+/// The same with so many descriptors for the program.
+fn one_runner_on(sockets: u64) -> (Discovery, Runner, Program) {
     let runner = Runner::start("s-0");
     let discovery = Discovery::start(vec![host("s-0", runner.at, "hall-a", "active")]);
-    let program = Program::start(&discovery, settings(), None);
+    let mut config = Program::config(discovery.at, settings());
+    config["limits"]["sockets"] = json!(sockets);
+    let program = Program::start_with(config, None);
     runner.call_back_to(&program);
     (discovery, runner, program)
 }
@@ -384,12 +391,7 @@
 /// time is up, and one that was there keeps its own.
 #[test]
 fn silent_connections_cost_clients_nothing() {
-    let runner = Runner::start("s-0");
-    let discovery = Discovery::start(vec![host("s-0", runner.at, "hall-a", "active")]);
-    let mut config = Program::config(discovery.at, settings());
-    config["limits"]["sockets"] = json!(64);
-    let program = Program::start_with(config, None);
-    runner.call_back_to(&program);
+    let (_discovery, _runner, program) = one_runner_on(64);
     let ask = |stream: &mut TcpStream| {
         write!(
             stream,
@@ -508,12 +510,7 @@
 /// More clients than descriptors: they wait or are turned away, and the program lives.
 #[test]
 fn at_the_descriptor_limit_it_degrades_and_lives() {
-    let runner = Runner::start("s-0");
-    let discovery = Discovery::start(vec![host("s-0", runner.at, "hall-a", "active")]);
-    let mut config = Program::config(discovery.at, settings());
-    config["limits"]["sockets"] = json!(64);
-    let program = Program::start_with(config, None);
-    runner.call_back_to(&program);
+    let (_discovery, _runner, program) = one_runner_on(64);
     let _idle: Vec<_> = (0..14).map(|_| TcpStream::connect(program.at).unwrap()).collect();
     let clients: Vec<_> = (0..40)
         .map(|_| {
--- a/store/src/disk.rs
+++ b/store/src/disk.rs
@@ -32,14 +32,6 @@
     next: u64,
 }
 
-fn storage(error: StorageError) -> StoreError {
-    match error {
-        StorageError::Io(e) if e.kind() == ErrorKind::StorageFull => StoreError::Full,
-        StorageError::Corrupted(why) => StoreError::NoStore(why),
-        other => StoreError::Io(other.to_string()),
-    }
-}
-
 fn any(error: impl Into<redb::Error>) -> StoreError {
     match error.into() {
         redb::Error::Io(e) if e.kind() == ErrorKind::StorageFull => StoreError::Full,
@@ -70,7 +62,7 @@
             DatabaseError::Storage(StorageError::Io(e)) if e.kind() == ErrorKind::InvalidData => {
                 StoreError::NoStore(format!("{}: {e}", file.display()))
             }
-            DatabaseError::Storage(e) => storage(e),
+            DatabaseError::Storage(e) => any(e),
             other => StoreError::NoStore(format!("{}: {other}", file.display())),
         })?;
         let mut disk = Disk { database: Some(database), file: file.to_owned(), next: 1 };
