Take the clients' socket from $NODE_LISTEN_FD, and let go of it at SIGTERM

Rejected: the listenfd crate, which speaks systemd's LISTEN_FDS/LISTEN_PID from descriptor 3 on, not one descriptor named in another variable; binding beside the old process with SO_REUSEPORT, which would split the queue into one that dies with it. At SIGTERM a process on a shared socket stops accepting at once (Front::stop_accepting), closes idle client connections and answers what it holds; without one the spell stays as before.

--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -26,6 +26,7 @@
 use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::rc::Rc;
+use std::time::Duration;
 use tokio::signal::unix::{SignalKind, signal};
 
 /// What `$NODE_CONFIG` holds.
@@ -170,8 +171,15 @@
     // From here on a SIGHUP no longer ends the program.
     let mut hang_up = signal(SignalKind::hangup()).map_err(|e| format!("SIGHUP: {e}"))?;
     let mut interrupt = signal(SignalKind::interrupt()).map_err(|e| format!("SIGINT: {e}"))?;
-    let listener =
-        platform::listen(config.listen, backlog).map_err(|e| format!("listen: {}: {e}", config.listen))?;
+    // Socket activation: where the platform holds the clients' socket, a process that replaces another
+    // takes it over, and no connection finds nobody listening in between.
+    let inherited = std::env::var("NODE_LISTEN_FD").ok();
+    let listener = match &inherited {
+        Some(fd) => net::inherit::take(fd)?,
+        None => {
+            platform::listen(config.listen, backlog).map_err(|e| format!("listen: {}: {e}", config.listen))?
+        }
+    };
 
     if let Some(known) = config.known {
         roster.take(sr::ListKind::Saved, known);
@@ -224,6 +232,14 @@
     log::info!("told to end: {}", runtime.summary());
     let (spell, stop) = (runtime.limits.spell, runtime.limits.stop);
     runtime.feed(Input::StopAt(runtime.clock.now() + sr::Span(stop.as_nanos() as u64)));
+    // A shared socket has a successor behind it: new connections are its, at once, and clients leave
+    // idle ones for it. Else the front needs a spell to notice, in which clients find this one as usual.
+    let spell = if inherited.is_some() {
+        front.stop_accepting();
+        Duration::ZERO
+    } else {
+        spell
+    };
     tokio::time::sleep(spell).await;
     log::info!("lets clients go: {}", runtime.summary());
     runtime.stop();
--- a/node/src/net/mod.rs
+++ b/node/src/net/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod discovery;
 pub mod faktory;
+pub mod inherit;
 pub mod platform;
 pub mod runners;
 pub mod spiffe;
--- a/node/src/net/platform.rs
+++ b/node/src/net/platform.rs
@@ -86,6 +86,8 @@
     connections: RefCell<HashMap<u64, (Rc<Connection>, AbortHandle)>>,
     next: Cell<u64>,
     closed: Notify,
+    /// Told when no more connections are to be accepted.
+    no_more: Notify,
 }
 
 impl Front {
@@ -97,6 +99,7 @@
             connections: RefCell::default(),
             next: Cell::new(0),
             closed: Notify::new(),
+            no_more: Notify::new(),
         })
     }
 
@@ -123,7 +126,12 @@
                 self.close_one();
                 let _ = tokio::time::timeout(limits.accept_pause, self.closed.notified()).await;
             }
-            let (stream, peer) = match listener.accept().await {
+            let accepted = tokio::select! {
+                accepted = listener.accept() => accepted,
+                // The listener goes with this: where it is shared, the others take what comes.
+                () = self.no_more.notified() => return,
+            };
+            let (stream, peer) = match accepted {
                 Ok(accepted) => accepted,
                 Err(e) => {
                     log::warn!("accept: {e}");
@@ -155,6 +163,12 @@
         }
     }
 
+    /// Accepts no more connections, and lets go of the listener. For a listener that other processes
+    /// share: a graceful restart, where the process that replaces this one accepts from now on.
+    pub fn stop_accepting(&self) {
+        self.no_more.notify_one();
+    }
+
     /// Closes the connection that can best be spared, if there is one.
     fn close_one(&self) {
         let connections = self.connections.borrow();
