Add the operators' door: READY, STATS with the page's figures, DISABLE and ENABLE

Rejected: a task on the serving thread (a burst delays every answer), HTTP (a half line must hear an error within 1 s). - figures.rs: atomics under the page's names, counted where the event happens. Rejected: the metrics facade, a process-wide recorder that would still need a printer of this form. - core: Input::Hand / Effect::Handed; a banned runner is told to the module as draining in every list until ENABLE, so the drain rule and the cold ramp stay the module's. bans.rs keeps the set in $TMPDIR/sablerun-bans before the yes; each process reads it at start and every 250 ms. - lab: each program gets a TMPDIR of its own, as on the platform.

Tests (node/tests/operations.rs): READY and figures after a served job; silent, half-line, 1 MiB and unknown callers each get their ERR while another caller is answered; a line written a byte at a time; DISABLE of an unknown id, DISABLE twice, nothing sent while out, the ban kept by the successor over an upgrade and against discovery's list, one ENABLE ends it.

--- a/lab/src/scripted.rs
+++ b/lab/src/scripted.rs
@@ -131,6 +131,8 @@
         std::fs::write(folder.join("config.json"), config.to_string()).unwrap();
         let mut command = Command::new(program().unwrap());
         command.env("NODE_CONFIG", folder.join("config.json")).env("RUST_LOG", "debug");
+        // Private, as the platform's is: what a process keeps there is for its successor alone.
+        command.env("TMPDIR", &folder);
         command.stderr(Stdio::piped()).stdout(Stdio::null()).stdin(Stdio::null());
         if let Some(text) = gateway {
             std::fs::write(folder.join("gateway.toml"), text).unwrap();
--- a/node/src/core.rs
+++ b/node/src/core.rs
@@ -9,7 +9,7 @@
 use sablerun_keys as keys;
 use sablerun_settings::Tables;
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -143,6 +143,14 @@
     RosterAt(SocketAddr),
     /// The program ends then: whatever is unanswered by that time is answered.
     StopAt(sr::Time),
+    /// An operator takes a runner out by hand (`out`), or puts it back; `call` is told with the result.
+    /// A call that the other process of an upgrade took (`shared`) may name a runner not listed here yet.
+    Hand {
+        call: u64,
+        runner: String,
+        out: bool,
+        shared: bool,
+    },
     /// Time has passed: a timer may be due.
     Due,
 }
@@ -168,6 +176,11 @@
     Fetch(SocketAddr),
     Probe(String),
     Release(String),
+    /// What came of an operator's call to take a runner out or put it back.
+    Handed {
+        call: u64,
+        result: Result<(), &'static str>,
+    },
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -245,6 +258,10 @@
     most_hold_off: sr::Span,
     /// What each source last said of its runners.
     lists: BTreeMap<(Source, u32), sr::ListEntry>,
+    /// Runners taken out by hand: the module hears of them as draining, whatever the lists say.
+    banned: BTreeSet<u32>,
+    /// Runners listed, and of those the ones avoided now by hand or because they drain.
+    census: (usize, usize),
     /// Events for the module that its own actions brought about.
     events: VecDeque<sr::Event>,
     actions: Vec<sr::Action>,
@@ -285,6 +302,8 @@
             timers_set: 0,
             stop: None,
             lists: BTreeMap::new(),
+            banned: BTreeSet::new(),
+            census: (0, 0),
             events: VecDeque::new(),
             actions: Vec::new(),
             effects: Vec::new(),
@@ -328,6 +347,53 @@
         self.tally
     }
 
+    /// Runners on the list, and of those the ones that are avoided now, by hand or as the list drains them.
+    pub fn census(&self) -> (usize, usize) {
+        self.census
+    }
+
+    /// The runners taken out by hand, by name.
+    pub fn banned(&self) -> impl Iterator<Item = &str> {
+        self.banned.iter().map(|worker| self.tables.workers.name(*worker))
+    }
+
+    /// Takes a runner out by hand, or puts it back: the module hears of it as of a drain, or of the list's
+    /// own word again. Asking twice changes nothing; a name never listed is turned down.
+    fn hand(&mut self, now: sr::Time, runner: &str, out: bool, shared: bool) -> Result<(), &'static str> {
+        let worker = match shared {
+            true => self.tables.workers.number(runner),
+            false => self.tables.workers.get(runner).ok_or("no runner of that id was ever listed")?,
+        };
+        let changed = if out { self.banned.insert(worker) } else { self.banned.remove(&worker) };
+        let entries: Vec<_> =
+            self.lists.iter().filter(|((_, w), _)| *w == worker).map(|(_, e)| e.clone()).collect();
+        if changed && !entries.is_empty() {
+            let entries = self.as_told(entries);
+            self.tell(now, sr::Event::List(sr::ListKind::Delta, entries));
+        }
+        self.count_runners();
+        Ok(())
+    }
+
+    /// Entries as the module is to hear them: a runner taken out by hand drains.
+    fn as_told(&self, mut entries: Vec<sr::ListEntry>) -> Vec<sr::ListEntry> {
+        for entry in &mut entries {
+            if self.banned.contains(&entry.worker.0) && entry.standing == sr::Standing::Ready {
+                entry.standing = sr::Standing::Draining;
+            }
+        }
+        entries
+    }
+
+    fn count_runners(&mut self) {
+        let mut listed: BTreeMap<u32, bool> = BTreeMap::new();
+        for ((_, worker), entry) in &self.lists {
+            let avoided = self.banned.contains(worker) || entry.standing != sr::Standing::Ready;
+            *listed.entry(*worker).or_insert(true) &= avoided;
+        }
+        self.census = (listed.len(), listed.values().filter(|avoided| **avoided).count());
+    }
+
     /// When the next timer is due.
     pub fn due(&self) -> Option<sr::Time> {
         self.timers.peek().map(|Reverse((at, ..))| *at)
@@ -365,6 +431,10 @@
                 self.stop = Some(at);
                 self.set_timer(at, Timer::Stop);
             }
+            Input::Hand { call, runner, out, shared } => {
+                let result = self.hand(now, &runner, out, shared);
+                self.effects.push(Effect::Handed { call, result });
+            }
             Input::Due => {}
         }
         self.run_timers(now);
@@ -629,6 +699,8 @@
             changed
                 .extend(self.lists.iter().filter(|((from, _), _)| *from != source).map(|(_, e)| e.clone()));
         }
+        self.count_runners();
+        let changed = self.as_told(changed);
         self.tell(now, sr::Event::List(kind, changed));
     }
 
--- a/node/src/core/model.rs
+++ b/node/src/core/model.rs
@@ -220,7 +220,7 @@
                     assert_eq!(at, self.roster, "the list is asked for elsewhere");
                     self.asked_for_list += 1;
                 }
-                Effect::Probe(_) | Effect::Release(_) => {}
+                Effect::Probe(_) | Effect::Release(_) | Effect::Handed { .. } => {}
             }
         }
     }
--- /dev/null
+++ b/node/src/figures.rs
@@ -0,0 +1,135 @@
+//! The figures that operators read at the door: jobs answered, deferred and errored by class, attempts
+//! sent, jobs under way, runners listed and avoided, configurations taken and turned down. It owns the
+//! counters and their names on the page. Counters are bumped where the event happens, on the serving
+//! thread, and read from the door's thread without a lock; only a class seen for the first time takes
+//! the registry's lock. It must never decide anything, nor hold a figure that it could not count.
+
+use std::fmt::Write;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering::Relaxed};
+use std::sync::{Arc, Mutex};
+
+/// How a job's final answer counts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Counted {
+    /// Served: the runner's result went back.
+    Answered,
+    /// Refused: trying again is harmless.
+    Deferred,
+    /// Failed, or never of use.
+    Errored,
+}
+
+/// The three counts of one class.
+#[derive(Debug, Default)]
+pub struct ClassFigures {
+    answered: AtomicU64,
+    deferred: AtomicU64,
+    errored: AtomicU64,
+}
+
+impl ClassFigures {
+    pub fn count(&self, counted: Counted) {
+        let counter = match counted {
+            Counted::Answered => &self.answered,
+            Counted::Deferred => &self.deferred,
+            Counted::Errored => &self.errored,
+        };
+        counter.fetch_add(1, Relaxed);
+    }
+}
+
+/// Every figure of the process, from 0 at its start.
+#[derive(Debug, Default)]
+pub struct Figures {
+    /// Each class by its name, in the order they were first seen.
+    classes: Mutex<Vec<(String, Arc<ClassFigures>)>>,
+    /// Attempts written whole to runners.
+    pub sends: AtomicU64,
+    /// Jobs taken and not ended.
+    pub current: AtomicU64,
+    /// Runners on the list.
+    pub cluster_size: AtomicU64,
+    /// Listed runners that the dispatcher avoids now, by hand or because the list drains them.
+    pub cluster_unhealthy: AtomicU64,
+    /// Configurations taken at SIGHUP.
+    pub conf_loaded: AtomicU64,
+    /// Configurations turned down at SIGHUP.
+    pub conf_invalid: AtomicU64,
+    /// The process serves, and is not ending.
+    pub ready: AtomicBool,
+}
+
+impl Figures {
+    /// The counters of a class, made on first use.
+    pub fn class(&self, name: &str) -> Arc<ClassFigures> {
+        // A poisoned lock only means that a thread panicked while it held it; the counters stay true.
+        let mut classes = self.classes.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
+        if let Some((_, figures)) = classes.iter().find(|(known, _)| known == name) {
+            return figures.clone();
+        }
+        let figures = Arc::new(ClassFigures::default());
+        classes.push((name.to_owned(), figures.clone()));
+        figures
+    }
+
+    pub fn add(counter: &AtomicU64) {
+        counter.fetch_add(1, Relaxed);
+    }
+
+    pub fn set(counter: &AtomicU64, value: usize) {
+        counter.store(value as u64, Relaxed);
+    }
+
+    /// The page: one `name=value` a line, each ended by a newline.
+    pub fn page(&self) -> String {
+        let mut page = String::new();
+        let classes = self.classes.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
+        for (name, figures) in classes.iter() {
+            let counts = [
+                ("answered", &figures.answered),
+                ("deferred", &figures.deferred),
+                ("errored", &figures.errored),
+            ];
+            for (what, count) in counts {
+                let _ = writeln!(page, "transactions.{name}.{what}={}", count.load(Relaxed));
+            }
+        }
+        drop(classes);
+        let gauges = [
+            ("sends", &self.sends),
+            ("current", &self.current),
+            ("cluster_size", &self.cluster_size),
+            ("cluster_unhealthy", &self.cluster_unhealthy),
+            ("conf_loaded", &self.conf_loaded),
+            ("conf_invalid", &self.conf_invalid),
+        ];
+        for (name, value) in gauges {
+            let _ = writeln!(page, "{name}={}", value.load(Relaxed));
+        }
+        page
+    }
+}
+
+#[test]
+fn the_page_names_each_class_and_figure_once() {
+    let figures = Figures::default();
+    figures.class("bin-check").count(Counted::Answered);
+    figures.class("bin-check").count(Counted::Errored);
+    figures.class("pick-route").count(Counted::Deferred);
+    Figures::add(&figures.sends);
+    Figures::set(&figures.current, 14);
+    let page = figures.page();
+    for line in [
+        "transactions.bin-check.answered=1",
+        "transactions.bin-check.deferred=0",
+        "transactions.bin-check.errored=1",
+        "transactions.pick-route.deferred=1",
+        "sends=1",
+        "current=14",
+        "cluster_size=0",
+        "conf_invalid=0",
+    ] {
+        assert_eq!(page.lines().filter(|l| *l == line).count(), 1, "{line} in {page}");
+    }
+    assert_eq!(page.lines().count(), 6 + 6);
+}
--- a/node/src/limits.rs
+++ b/node/src/limits.rs
@@ -69,6 +69,8 @@
     pub stop: Duration,
     /// What the store of clients' keys may hold, where keys are kept.
     pub keys: Option<keys::Bounds>,
+    /// Time between two looks at the file of bans that a process shares with its successor.
+    pub bans: Duration,
 }
 
 impl Limits {
@@ -128,6 +130,8 @@
             spell: stop * 3 / 5,
             stop,
             keys: None,
+            // A ban holds from the yes, 1 s after the call at the latest, at either process.
+            bans: Duration::from_millis(250),
         }
     }
 }
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -1,8 +1,10 @@
 //! The dispatcher `sablerun`: reads what it is told, opens its sockets and runs until it is told to
 //! end. It owns the order of starting and stopping and must never decide or translate anything.
 
+mod bans;
 mod cli;
 mod core;
+mod figures;
 mod jobs_cli;
 mod limits;
 mod logging;
@@ -39,6 +41,9 @@
     limits: Machine,
     #[serde(default)]
     known: Option<discovery::Hosts>,
+    /// The operators' door, where there is one; `$NODE_ADMIN_ADDR` stands before it.
+    #[serde(default)]
+    admin_addr: Option<SocketAddr>,
     settings: Env,
 }
 
@@ -156,6 +161,14 @@
         place.write(&now).map_err(|e| format!("keys.snapshot.file: {e}"))?;
     }
 
+    // Bound before anything serves: a wrong address stops the start with its name.
+    let admin = match std::env::var("NODE_ADMIN_ADDR") {
+        Ok(text) => Some(text.trim().parse().map_err(|e| format!("NODE_ADMIN_ADDR: {text:?}: {e}"))?),
+        Err(_) => config.admin_addr,
+    };
+    let door =
+        admin.map(|at| net::door::open(at).map_err(|e| format!("admin_addr: {at}: {e}"))).transpose()?;
+
     let runners = runners::Runners::new(&runtime);
     runtime.add_link(runners.clone());
     let roster = discovery::Discovery::new(&runtime, &runners);
@@ -192,6 +205,44 @@
     let front = platform::Front::new(&runtime, keyed, with_tenants);
     actix_rt::spawn(front.clone().serve(listener));
     let listen = bound.unwrap_or(config.listen);
+    if let Some(door) = door {
+        let at = door.local_addr().map_or_else(|e| e.to_string(), |at| at.to_string());
+        let (asks, mut asked) = tokio::sync::mpsc::unbounded_channel::<net::door::Asked>();
+        let limits = net::door::DoorLimits::default();
+        net::door::start(door, runtime.figures.clone(), asks, limits)
+            .map_err(|e| format!("admin_addr: {e}"))?;
+        let held = runtime.clone();
+        let file = bans::place();
+        follow_bans(&runtime, &file);
+        actix_rt::spawn(async move {
+            while let Some(net::door::Asked { runner, out, reply }) = asked.recv().await {
+                let result = held.hand(runner.clone(), out, false);
+                let word = if out { "taken out" } else { "put back" };
+                match result {
+                    Ok(()) => log::info!(runner = runner.as_str(); "runner {word} by hand"),
+                    Err(why) => log::warn!(runner = runner.as_str(); "runner not {word}: {why}"),
+                }
+                // The yes is given once the ban is on disk, where a successor finds it.
+                let kept = result.map_err(str::to_owned).and_then(|()| {
+                    let banned = held.banned();
+                    bans::write(&file, banned.iter().map(String::as_str))
+                        .map_err(|e| format!("{word} here, but not kept in {}: {e}", file.display()))
+                });
+                let _ = reply.send(kept);
+            }
+        });
+        let held = runtime.clone();
+        let file = bans::place();
+        actix_rt::spawn(async move {
+            let mut every = tokio::time::interval(held.limits.bans);
+            loop {
+                every.tick().await;
+                follow_bans(&held, &file);
+            }
+        });
+        log::info!("operators' door on {at}");
+    }
+    runtime.figures.ready.store(true, std::sync::atomic::Ordering::Relaxed);
     log::info!("{} ready on {listen}, discovery at {}", config.name, config.discovery);
 
     let second = second.map(|(front, listener)| {
@@ -229,6 +280,7 @@
     }
     // Clients and call-backs find everything as usual for a spell. After it clients are sent elsewhere,
     // but runners' call-backs still come in: the listeners stay open to the end.
+    runtime.figures.ready.store(false, std::sync::atomic::Ordering::Relaxed);
     log::info!("told to end: {}", runtime.summary());
     let (spell, stop) = (runtime.limits.spell, runtime.limits.stop);
     runtime.feed(Input::StopAt(runtime.clock.now() + sr::Span(stop.as_nanos() as u64)));
@@ -258,6 +310,23 @@
     Ok(())
 }
 
+/// Takes on the bans that the file holds: a predecessor's, or the other process's during an upgrade.
+fn follow_bans(runtime: &Runtime, file: &std::path::Path) {
+    let kept = match bans::read(file) {
+        Ok(kept) => kept,
+        Err(e) => return log::warn!("bans: {}: {e}", file.display()),
+    };
+    let here = runtime.banned();
+    for runner in kept.difference(&here) {
+        log::info!(runner = runner.as_str(); "runner taken out by hand, as the file of bans says");
+        let _ = runtime.hand(runner.clone(), true, true);
+    }
+    for runner in here.difference(&kept) {
+        log::info!(runner = runner.as_str(); "runner put back by hand, as the file of bans says");
+        let _ = runtime.hand(runner.clone(), false, true);
+    }
+}
+
 /// The keys that a predecessor left, and for how long it may be in doubt what it did.
 fn remember(
     mut store: keys::Store,
--- /dev/null
+++ b/node/src/net/door.rs
@@ -0,0 +1,231 @@
+//! The operators' door: a line protocol on the address that `admin_addr` (or `$NODE_ADMIN_ADDR`) names.
+//! One call a connection, one answer that begins with `OK` or `ERR`. It runs on a thread of its own, so
+//! that an answer is due within its time however busy the serving thread is: figures are read from
+//! counters, and only what changes the dispatcher's state goes to the serving thread, as an input of the
+//! core. It owns the listener, the reading of a call within its size and time, and the words of the
+//! answers. It must never decide anything itself, nor wait on a caller longer than a call may take.
+
+use crate::figures::Figures;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::Ordering::Relaxed;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{Semaphore, mpsc, oneshot};
+
+/// A call at the door.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Call {
+    /// Whether this process is ready to serve.
+    Ready,
+    /// The figures, a line each, then `END`.
+    Stats,
+    /// Nothing new to this runner, until it is put back.
+    Disable(String),
+    /// The runner takes work again.
+    Enable(String),
+}
+
+/// Sizes and times of the door.
+#[derive(Clone, Copy, Debug)]
+pub struct DoorLimits {
+    /// Longest call, its newline included, in bytes.
+    pub line: usize,
+    /// Time for a whole call from the connection's start; then a half call is answered with `ERR`.
+    pub call: Duration,
+    /// Time for the serving thread to carry out a call.
+    pub serving: Duration,
+    /// Time for an answer to be written.
+    pub write: Duration,
+    /// Connections served at once; the others are answered `ERR busy` at once.
+    pub connections: usize,
+}
+
+impl Default for DoorLimits {
+    fn default() -> DoorLimits {
+        // Every answer is due within 1 s of the call: a call gets 0.9 s to arrive whole, and a change
+        // 0.8 s on the serving thread.
+        DoorLimits {
+            line: 256,
+            call: Duration::from_millis(900),
+            serving: Duration::from_millis(800),
+            write: Duration::from_secs(1),
+            connections: 16,
+        }
+    }
+}
+
+/// A change that the serving thread is asked to make: a runner taken out (`out`) or put back.
+pub struct Asked {
+    pub runner: String,
+    pub out: bool,
+    pub reply: oneshot::Sender<Result<(), String>>,
+}
+
+/// Reads a call.
+///
+/// # Errors
+///
+/// The words of an `ERR` answer that say what is wrong with it.
+pub fn parse(line: &[u8]) -> Result<Call, String> {
+    let line = std::str::from_utf8(line).map_err(|_| "the call is not UTF-8".to_owned())?;
+    let mut words = line.split_ascii_whitespace();
+    let verb = words.next().ok_or("empty call: say READY, STATS, DISABLE ID or ENABLE ID")?;
+    let id = words.next();
+    if words.next().is_some() {
+        return Err(format!("{verb}: too many words"));
+    }
+    let runner = |make: fn(String) -> Call| match id {
+        Some(id) => Ok(make(id.to_owned())),
+        None => Err(format!("{verb}: which runner? say {verb} ID")),
+    };
+    match (verb.to_ascii_uppercase().as_str(), id) {
+        ("READY", None) => Ok(Call::Ready),
+        ("STATS", None) => Ok(Call::Stats),
+        ("READY" | "STATS", Some(_)) => Err(format!("{verb} takes no argument")),
+        ("DISABLE", _) => runner(Call::Disable),
+        ("ENABLE", _) => runner(Call::Enable),
+        _ => Err(format!("unknown call {verb:?}: say READY, STATS, DISABLE ID or ENABLE ID")),
+    }
+}
+
+/// Binds the door's address; before anything serves, so that a wrong address stops the start.
+pub fn open(at: SocketAddr) -> io::Result<std::net::TcpListener> {
+    let listener = std::net::TcpListener::bind(at)?;
+    listener.set_nonblocking(true)?;
+    Ok(listener)
+}
+
+/// Serves the door on a thread of its own, until the process ends.
+pub fn start(
+    listener: std::net::TcpListener,
+    figures: Arc<Figures>,
+    asks: mpsc::UnboundedSender<Asked>,
+    limits: DoorLimits,
+) -> io::Result<()> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_io().enable_time().build()?;
+    std::thread::Builder::new().name("door".to_owned()).spawn(move || {
+        runtime.block_on(async move {
+            let Ok(listener) = TcpListener::from_std(listener) else { return };
+            let room = Arc::new(Semaphore::new(limits.connections));
+            loop {
+                let Ok((stream, _)) = listener.accept().await else {
+                    // Out of descriptors, most likely: later there may be one.
+                    tokio::time::sleep(Duration::from_millis(20)).await;
+                    continue;
+                };
+                let (figures, asks, room) = (figures.clone(), asks.clone(), room.clone());
+                tokio::spawn(async move {
+                    let Ok(_seat) = room.try_acquire() else {
+                        return answer(stream, "ERR busy: too many calls at once, call again\n", limits)
+                            .await;
+                    };
+                    let reply = match read_call(&stream, limits).await {
+                        Ok(call) => carry_out(call, &figures, &asks, limits).await,
+                        Err(why) => format!("ERR {why}\n"),
+                    };
+                    answer(stream, &reply, limits).await;
+                });
+            }
+        });
+    })?;
+    Ok(())
+}
+
+/// Reads one line, within the size and the time of a call. A caller that ends its side after a call
+/// without a newline has said it whole.
+async fn read_call(stream: &TcpStream, limits: DoorLimits) -> Result<Call, String> {
+    let mut line = Vec::with_capacity(64);
+    let deadline = tokio::time::Instant::now() + limits.call;
+    loop {
+        let mut chunk = [0u8; 256];
+        let read = tokio::time::timeout_at(deadline, async {
+            stream.readable().await?;
+            match stream.try_read(&mut chunk) {
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => Ok(None),
+                other => other.map(Some),
+            }
+        });
+        let got = match read.await {
+            Err(_) if line.is_empty() => {
+                return Err(format!("no call within {} ms", limits.call.as_millis()));
+            }
+            Err(_) => {
+                return Err(format!(
+                    "the call was not ended by a newline within {} ms",
+                    limits.call.as_millis()
+                ));
+            }
+            Ok(Err(e)) => return Err(format!("the call could not be read: {e}")),
+            Ok(Ok(None)) => continue,
+            Ok(Ok(Some(got))) => got,
+        };
+        let ended = got == 0;
+        let chunk = &chunk[..got];
+        let end = chunk.iter().position(|b| *b == b'\n');
+        line.extend_from_slice(&chunk[..end.map_or(chunk.len(), |at| at + 1)]);
+        if line.len() > limits.line {
+            return Err(format!("the call is longer than {} bytes", limits.line));
+        }
+        if end.is_some() || ended {
+            return parse(&line);
+        }
+    }
+}
+
+async fn carry_out(
+    call: Call,
+    figures: &Figures,
+    asks: &mpsc::UnboundedSender<Asked>,
+    limits: DoorLimits,
+) -> String {
+    let (runner, out) = match call {
+        Call::Ready if figures.ready.load(Relaxed) => return "OK ready\n".to_owned(),
+        Call::Ready => return "ERR not ready: starting or ending\n".to_owned(),
+        Call::Stats => return format!("OK\n{}END\n", figures.page()),
+        Call::Disable(runner) => (runner, true),
+        Call::Enable(runner) => (runner, false),
+    };
+    let (reply, told) = oneshot::channel();
+    if asks.send(Asked { runner, out, reply }).is_err() {
+        return "ERR the dispatcher is ending\n".to_owned();
+    }
+    match tokio::time::timeout(limits.serving, told).await {
+        Ok(Ok(Ok(()))) => "OK\n".to_owned(),
+        Ok(Ok(Err(why))) => format!("ERR {why}\n"),
+        Ok(Err(_)) => "ERR the dispatcher is ending\n".to_owned(),
+        Err(_) => format!("ERR not carried out within {} ms: call again", limits.serving.as_millis()),
+    }
+}
+
+/// Writes the answer and closes; a caller that does not read it in time is let go.
+async fn answer(mut stream: TcpStream, reply: &str, limits: DoorLimits) {
+    let written = tokio::time::timeout(limits.write, async {
+        stream.write_all(reply.as_bytes()).await?;
+        stream.shutdown().await
+    });
+    let _ = written.await;
+    // What the caller sent beyond its call is dropped unread; a reset then is no loss.
+    let _ = tokio::time::timeout(Duration::from_millis(50), stream.read(&mut [0u8; 64])).await;
+}
+
+#[cfg(test)]
+mod tests {
+    use super::{Call, parse};
+
+    #[test]
+    fn calls_are_read_and_what_is_wrong_is_named() {
+        assert_eq!(parse(b"READY\n"), Ok(Call::Ready));
+        assert_eq!(parse(b"stats\r\n"), Ok(Call::Stats));
+        assert_eq!(parse(b"DISABLE s-0badcafe\n"), Ok(Call::Disable("s-0badcafe".into())));
+        assert_eq!(parse(b"ENABLE s-1"), Ok(Call::Enable("s-1".into())));
+        assert!(parse(b"\n").unwrap_err().starts_with("empty call"));
+        assert!(parse(b"DISABLE\n").unwrap_err().contains("which runner"));
+        assert!(parse(b"READY now\n").unwrap_err().contains("takes no argument"));
+        assert!(parse(b"DISABLE a b\n").unwrap_err().contains("too many words"));
+        assert!(parse(b"DRAIN s-1\n").unwrap_err().contains("unknown call \"DRAIN\""));
+        assert!(parse(&[0xff, b'\n']).unwrap_err().contains("UTF-8"));
+    }
+}
--- a/node/src/net/faktory.rs
+++ b/node/src/net/faktory.rs
@@ -692,7 +692,7 @@
         wire: &mut Wire<S>,
         mut arrival: Arrival<Rc<Job>>,
     ) -> Result<Result<(), String>, End> {
-        let (ticket, mut answer) = self.runtime.ticket();
+        let (ticket, mut answer) = self.runtime.ticket(arrival.class);
         arrival.ticket = ticket;
         let _here = Here::new(&self.runtime, ticket);
         self.runtime.feed(Input::Arrived(arrival));
@@ -801,6 +801,7 @@
                 since: Instant::now(),
             };
             worker.running.insert(jid.clone(), running);
+            crate::figures::Figures::add(&self.runtime.figures.sends);
             // If its connection has just gone, its end tells what becomes of the job.
             let _ = parked.hand_over.send(Handed { jid, frame });
         }
--- a/node/src/net/mod.rs
+++ b/node/src/net/mod.rs
@@ -2,6 +2,7 @@
 //! core's effects into messages. None of them may decide anything.
 
 pub mod discovery;
+pub mod door;
 pub mod faktory;
 pub mod inherit;
 pub mod platform;
--- a/node/src/net/platform.rs
+++ b/node/src/net/platform.rs
@@ -262,7 +262,7 @@
             original: None,
         };
         let key = self.runtime.key_of(head.class, &job);
-        let (ticket, answer) = self.runtime.ticket();
+        let (ticket, answer) = self.runtime.ticket(head.class);
         // Dropped with this future when the connection closes before the answer.
         let _here = Here::new(&self.runtime, ticket);
         self.runtime.feed(Input::Arrived(Arrival {
--- a/node/src/net/runners.rs
+++ b/node/src/net/runners.rs
@@ -201,7 +201,12 @@
                 giving_up.notified().await;
             }
             let wait = Duration::from_nanos((deadline - runtime.clock.now()).0);
-            match this.attempt(at, &key.0, &job, wait).await {
+            let answered = this.attempt(at, &key.0, &job, wait).await;
+            // Written whole unless it never got that far.
+            if !matches!(&answered, Answered::Ended(e) if e.outcome == sr::Outcome::ConnectFailed) {
+                crate::figures::Figures::add(&runtime.figures.sends);
+            }
+            match answered {
                 Answered::Taken => {
                     log::debug!("runner {} took {}", key.1, key.0);
                     took.set(true);
--- a/node/src/runtime.rs
+++ b/node/src/runtime.rs
@@ -4,6 +4,7 @@
 //! [`Core::step`], nor speak a wire: that is for what stands in `net`.
 
 use crate::core::{Answer, AttemptId, Core, Effect, Input, Key, Tally, Ticket};
+use crate::figures::{ClassFigures, Counted, Figures};
 use crate::limits::Limits;
 use bytes::Bytes;
 use sablerun as sr;
@@ -13,6 +14,7 @@
 use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use tokio::sync::{Notify, oneshot};
 
@@ -106,6 +108,9 @@
     fn fetch(&self, at: SocketAddr);
 }
 
+/// Who waits for a ticket's answer, and the counters of its class.
+type Waiting = (oneshot::Sender<Answer>, Arc<ClassFigures>);
+
 /// The core and what surrounds it.
 pub struct Runtime {
     pub limits: Limits,
@@ -115,7 +120,13 @@
     stepping: Cell<bool>,
     links: RefCell<Vec<Rc<dyn Link>>>,
     roster: RefCell<Option<Rc<dyn Roster>>>,
-    waiting: RefCell<HashMap<Ticket, oneshot::Sender<Answer>>>,
+    waiting: RefCell<HashMap<Ticket, Waiting>>,
+    /// The figures that the operators' door reads.
+    pub figures: Arc<Figures>,
+    /// The counters of each class, by number: found without the registry's lock.
+    classes: RefCell<Vec<Arc<ClassFigures>>>,
+    /// Operators' calls under way, and what came of the last.
+    handed: RefCell<Option<(u64, Result<(), &'static str>)>>,
     tickets: Cell<u64>,
     retimed: Notify,
     stopping: Cell<bool>,
@@ -132,6 +143,9 @@
             links: RefCell::default(),
             roster: RefCell::default(),
             waiting: RefCell::default(),
+            figures: Arc::new(Figures::default()),
+            classes: RefCell::default(),
+            handed: RefCell::default(),
             tickets: Cell::new(0),
             retimed: Notify::new(),
             stopping: Cell::new(false),
@@ -168,15 +182,40 @@
         Some(Key { text: text.into(), print })
     }
 
-    /// A ticket for a new request, and where its answer will arrive.
-    pub fn ticket(&self) -> (Ticket, oneshot::Receiver<Answer>) {
+    /// A ticket for a new request of a class, and where its answer will arrive.
+    pub fn ticket(&self, class: u32) -> (Ticket, oneshot::Receiver<Answer>) {
         self.tickets.set(self.tickets.get() + 1);
         let ticket = Ticket(self.tickets.get());
         let (send, receive) = oneshot::channel();
-        self.waiting.borrow_mut().insert(ticket, send);
+        let figures = self.class_figures(class);
+        self.waiting.borrow_mut().insert(ticket, (send, figures));
         (ticket, receive)
     }
 
+    fn class_figures(&self, class: u32) -> Arc<ClassFigures> {
+        let mut classes = self.classes.borrow_mut();
+        while classes.len() <= class as usize {
+            let name = self.with_tables(|tables| tables.classes.name(classes.len() as u32).to_owned());
+            classes.push(self.figures.class(&name));
+        }
+        classes[class as usize].clone()
+    }
+
+    /// An operator's call: takes a runner out by hand, or puts it back.
+    ///
+    /// # Errors
+    ///
+    /// Why it was turned down: the runner was never listed.
+    pub fn hand(&self, runner: String, out: bool, shared: bool) -> Result<(), &'static str> {
+        self.tickets.set(self.tickets.get() + 1);
+        let call = self.tickets.get();
+        self.feed(Input::Hand { call, runner, out, shared });
+        match self.handed.borrow_mut().take() {
+            Some((said, result)) if said == call => result,
+            _ => Err("the call was not carried out: call again"),
+        }
+    }
+
     /// The client of a ticket has left; nothing happens if it was answered.
     pub fn client_gone(&self, ticket: Ticket) {
         if self.waiting.borrow_mut().remove(&ticket).is_some() {
@@ -204,6 +243,12 @@
             }
         }
         self.stepping.set(false);
+        let core = self.core.borrow();
+        let (listed, avoided) = core.census();
+        Figures::set(&self.figures.current, core.open());
+        Figures::set(&self.figures.cluster_size, listed);
+        Figures::set(&self.figures.cluster_unhealthy, avoided);
+        drop(core);
         if self.core.borrow().due() != before {
             self.retimed.notify_one();
         }
@@ -213,7 +258,12 @@
         match effect {
             Effect::Answer(ticket, answer) => {
                 let waiting = self.waiting.borrow_mut().remove(&ticket);
-                if let Some(waiting) = waiting {
+                if let Some((waiting, figures)) = waiting {
+                    figures.count(match answer {
+                        Answer::Served(_) => Counted::Answered,
+                        Answer::Refused(_) => Counted::Deferred,
+                        Answer::Failed(_) | Answer::Unfit(_) => Counted::Errored,
+                    });
                     // Fails only if the client has just left: nobody is owed anything then.
                     let _ = waiting.send(answer);
                 }
@@ -240,6 +290,7 @@
                 Some(link) => link.probe(&runner),
                 None => self.feed(Input::Probed { runner, ok: false, report: None }),
             },
+            Effect::Handed { call, result } => *self.handed.borrow_mut() = Some((call, result)),
             Effect::Release(runner) => {
                 if let Some(link) = self.link_to(&runner) {
                     link.release(&runner);
@@ -287,6 +338,11 @@
         }
     }
 
+    /// The runners taken out by hand, by name.
+    pub fn banned(&self) -> std::collections::BTreeSet<String> {
+        self.core.borrow().banned().map(str::to_owned).collect()
+    }
+
     /// What has been counted so far.
     pub fn tally(&self) -> Tally {
         self.core.borrow().tally()
--- a/node/tests/operations.rs
+++ b/node/tests/operations.rs
@@ -6,7 +6,8 @@
 use command_fds::{CommandFdExt, FdMapping};
 use common::*;
 use serde_json::Value;
-use std::net::{SocketAddr, TcpListener};
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::os::fd::OwnedFd;
 
 /// A process of the dispatcher on a clients' socket that the test holds, as the platform does.
@@ -58,3 +59,127 @@
     let said = String::from_utf8_lossy(&out.stderr);
     assert!(said.contains("NODE_LISTEN_FD: \"900\": is not open in this process"), "{said}");
 }
+
+/// One call at the door, and its whole answer.
+fn door(at: SocketAddr, call: &str) -> String {
+    let mut stream = TcpStream::connect(at).unwrap();
+    stream.write_all(call.as_bytes()).unwrap();
+    stream.set_read_timeout(Some(PATIENCE)).unwrap();
+    let mut answer = String::new();
+    let _ = stream.read_to_string(&mut answer);
+    answer
+}
+
+/// A figure from the answer to STATS.
+fn figure(stats: &str, name: &str) -> u64 {
+    let line = stats.lines().find_map(|line| line.strip_prefix(&format!("{name}=")));
+    line.unwrap_or_else(|| panic!("{name} in {stats}")).parse().unwrap()
+}
+
+/// Where a program's door is.
+fn door_of(program: &Program) -> SocketAddr {
+    let line = program.log.wait("operators' door on ", 1);
+    line.split_once("operators' door on ").unwrap().1.trim().parse().unwrap()
+}
+
+#[test]
+fn the_door_says_ready_and_tells_the_figures() {
+    let runner = Runner::start("s-0");
+    let discovery = Discovery::start(vec![host("s-0", runner.at, "hall-a", "active")]);
+    let mut config = Program::config(discovery.at, settings());
+    config["admin_addr"] = "127.0.0.1:0".into();
+    let program = Program::start_with(config, None);
+    let at = door_of(&program);
+    runner.call_back_to(&program);
+    assert_eq!(door(at, "READY\n"), "OK ready\n");
+    assert_eq!(served(program.at), (200, "by s-0".to_owned()));
+    let refused = call(program.at, &api("short-pick", &new_id(), "5000m", "\r\nX-Attrs: slots=x"), "");
+    assert_eq!(refused.status(), 400, "a bad head counts for no class");
+    let stats = door(at, "STATS\n");
+    assert!(stats.starts_with("OK\n") && stats.ends_with("END\n"), "{stats}");
+    assert_eq!(figure(&stats, "transactions.short-pick.answered"), 1);
+    assert_eq!(figure(&stats, "transactions.short-pick.deferred"), 0);
+    assert_eq!(figure(&stats, "sends"), 1);
+    assert_eq!(figure(&stats, "current"), 0);
+    assert_eq!(figure(&stats, "cluster_size"), 1);
+    assert_eq!(figure(&stats, "cluster_unhealthy"), 0);
+    assert_eq!(figure(&stats, "conf_loaded"), 0);
+}
+
+/// Callers that say nothing, or half a call, or far too much, get an error each; meanwhile others are
+/// answered.
+#[test]
+fn the_door_answers_others_while_callers_are_silent_or_half_done() {
+    let discovery = Discovery::start(Vec::new());
+    let mut config = Program::config(discovery.at, settings());
+    config["admin_addr"] = "127.0.0.1:0".into();
+    let program = Program::start_with(config, None);
+    let at = door_of(&program);
+    let mut silent = TcpStream::connect(at).unwrap();
+    let mut half = TcpStream::connect(at).unwrap();
+    half.write_all(b"STA").unwrap();
+    assert_eq!(door(at, "READY\n"), "OK ready\n", "answered while two callers hold theirs open");
+    let mut told = String::new();
+    half.set_read_timeout(Some(PATIENCE)).unwrap();
+    half.read_to_string(&mut told).unwrap();
+    assert_eq!(told, "ERR the call was not ended by a newline within 900 ms\n");
+    told.clear();
+    silent.set_read_timeout(Some(PATIENCE)).unwrap();
+    silent.read_to_string(&mut told).unwrap();
+    assert_eq!(told, "ERR no call within 900 ms\n");
+    let long = "X".repeat(1 << 20) + "\n";
+    let mut stream = TcpStream::connect(at).unwrap();
+    let _ = stream.write_all(long.as_bytes());
+    stream.set_read_timeout(Some(PATIENCE)).unwrap();
+    let mut answer = String::new();
+    let _ = stream.read_to_string(&mut answer);
+    assert_eq!(answer, "ERR the call is longer than 256 bytes\n");
+    assert!(door(at, "HELLO\n").starts_with("ERR unknown call \"HELLO\""));
+    // Pieces of any size make one call.
+    let mut pieces = TcpStream::connect(at).unwrap();
+    for byte in b"READY\n" {
+        pieces.write_all(&[*byte]).unwrap();
+    }
+    let mut answer = String::new();
+    pieces.read_to_string(&mut answer).unwrap();
+    assert_eq!(answer, "OK ready\n");
+}
+
+#[test]
+fn a_runner_taken_out_by_hand_gets_nothing_new_until_it_is_put_back_even_over_an_upgrade() {
+    let runner = Runner::start("s-0");
+    let discovery = Discovery::start(vec![host("s-0", runner.at, "hall-a", "active")]);
+    let socket = TcpListener::bind("127.0.0.1:0").unwrap();
+    let mut config = Program::config(discovery.at, settings());
+    config["listen"] = socket.local_addr().unwrap().to_string().into();
+    config["admin_addr"] = "127.0.0.1:0".into();
+    let mut old = on_shared(&config, &socket);
+    let at = door_of(&old);
+    runner.call_back_to(&old);
+    assert_eq!(door(at, "DISABLE s-9\n"), "ERR no runner of that id was ever listed\n");
+    assert_eq!(door(at, "DISABLE s-0\n"), "OK\n");
+    assert_eq!(door(at, "DISABLE s-0\n"), "OK\n", "a repeated call changes nothing");
+    assert_eq!(figure(&door(at, "STATS\n"), "cluster_unhealthy"), 1);
+    let sent = runner.seen.count("POST serve");
+    let (status, _) = served(old.at);
+    assert_eq!(status, 503, "nothing goes to a runner taken out");
+    assert_eq!(runner.seen.count("POST serve"), sent);
+    // The successor finds the ban kept; discovery's word does not end it.
+    let folder = std::path::Path::new(&old.config).parent().unwrap().to_owned();
+    let mut command = Program::command(&config, None);
+    command.env("TMPDIR", &folder);
+    let copy: OwnedFd = socket.try_clone().unwrap().into();
+    command.fd_mappings(vec![FdMapping { parent_fd: copy, child_fd: 5 }]).unwrap();
+    command.env("NODE_LISTEN_FD", "5");
+    let new = Program::spawn(command, false);
+    let at = door_of(&new);
+    old.signal("TERM");
+    assert!(old.child.wait().unwrap().success());
+    discovery.tell(&[host("s-0", runner.at, "hall-a", "active")]);
+    assert_eq!(figure(&door(at, "STATS\n"), "cluster_unhealthy"), 1);
+    assert_eq!(served(new.at).0, 503);
+    assert_eq!(door(at, "ENABLE s-0\n"), "OK\n", "one call puts it back");
+    assert_eq!(figure(&door(at, "STATS\n"), "cluster_unhealthy"), 0);
+    assert_eq!(served(new.at), (200, "by s-0".to_owned()));
+    assert_eq!(std::fs::read_to_string(folder.join("sablerun-bans")).unwrap(), "");
+}
