Count configurations taken and turned down at SIGHUP in conf_loaded and conf_invalid

Checked first: reload() already turns each of those down whole (serde names a missing key or a non-number; Settings::validate names a deadline or tryLimit of 0), and the old settings stay; only the counts were missing. The change counts at the two ends of reload() in main.rs.

Test: node/tests/operations.rs sends SIGHUP with each of the five bad files, then a good one: conf_invalid 5, conf_loaded 1, and a job is served on the old settings.

--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -118,6 +118,7 @@
     });
     match read {
         Ok((config, new)) => {
+            figures::Figures::add(&runtime.figures.conf_loaded);
             log::info!("configuration read anew, discovery at {}", config.discovery);
             for key in ["name", "listen", "limits", "settings"] {
                 if new[key] != text[key] {
@@ -127,7 +128,10 @@
             *text = new;
             runtime.feed(Input::RosterAt(config.discovery));
         }
-        Err(e) => log::error!("configuration not read anew, the old one stays: {e}"),
+        Err(e) => {
+            figures::Figures::add(&runtime.figures.conf_invalid);
+            log::error!("configuration not read anew, the old one stays: {e}");
+        }
     }
 }
 
--- a/node/tests/operations.rs
+++ b/node/tests/operations.rs
@@ -10,9 +10,13 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::os::fd::OwnedFd;
 
-/// A process of the dispatcher on a clients' socket that the test holds, as the platform does.
-fn on_shared(config: &Value, socket: &TcpListener) -> Program {
+/// A process of the dispatcher on a clients' socket that the test holds, as the platform does; with the
+/// `$TMPDIR` of a process that it replaces, where one is named.
+fn on_shared(config: &Value, socket: &TcpListener, replaces: Option<&Program>) -> Program {
     let mut command = Program::command(config, None);
+    if let Some(old) = replaces {
+        command.env("TMPDIR", std::path::Path::new(&old.config).parent().unwrap());
+    }
     let copy: OwnedFd = socket.try_clone().unwrap().into();
     command.fd_mappings(vec![FdMapping { parent_fd: copy, child_fd: 5 }]).unwrap();
     command.env("NODE_LISTEN_FD", "5");
@@ -31,11 +35,11 @@
     let socket = TcpListener::bind("127.0.0.1:0").unwrap();
     let mut config = Program::config(discovery.at, settings());
     config["listen"] = socket.local_addr().unwrap().to_string().into();
-    let mut old = on_shared(&config, &socket);
+    let mut old = on_shared(&config, &socket, None);
     runner.call_back_to(&old);
     assert_eq!(old.at, socket.local_addr().unwrap(), "it serves where the socket listens");
     assert_eq!(served(old.at), (200, "by s-0".to_owned()));
-    let new = on_shared(&config, &socket);
+    let new = on_shared(&config, &socket, None);
     old.signal("TERM");
     assert!(old.child.wait().unwrap().success(), "the old one ends in good order");
     old.log.wait("ends: ", 1);
@@ -153,7 +157,7 @@
     let mut config = Program::config(discovery.at, settings());
     config["listen"] = socket.local_addr().unwrap().to_string().into();
     config["admin_addr"] = "127.0.0.1:0".into();
-    let mut old = on_shared(&config, &socket);
+    let mut old = on_shared(&config, &socket, None);
     let at = door_of(&old);
     runner.call_back_to(&old);
     assert_eq!(door(at, "DISABLE s-9\n"), "ERR no runner of that id was ever listed\n");
@@ -166,12 +170,7 @@
     assert_eq!(runner.seen.count("POST serve"), sent);
     // The successor finds the ban kept; discovery's word does not end it.
     let folder = std::path::Path::new(&old.config).parent().unwrap().to_owned();
-    let mut command = Program::command(&config, None);
-    command.env("TMPDIR", &folder);
-    let copy: OwnedFd = socket.try_clone().unwrap().into();
-    command.fd_mappings(vec![FdMapping { parent_fd: copy, child_fd: 5 }]).unwrap();
-    command.env("NODE_LISTEN_FD", "5");
-    let new = Program::spawn(command, false);
+    let new = on_shared(&config, &socket, Some(&old));
     let at = door_of(&new);
     old.signal("TERM");
     assert!(old.child.wait().unwrap().success());
@@ -183,3 +182,41 @@
     assert_eq!(served(new.at), (200, "by s-0".to_owned()));
     assert_eq!(std::fs::read_to_string(folder.join("sablerun-bans")).unwrap(), "");
 }
+
+/// A file that is empty, cut short, lacks a key, or has a deadline or a number of attempts that is no
+/// number above 0 is turned down whole, and counted; a good one is taken.
+#[test]
+fn a_configuration_of_no_use_at_sighup_is_turned_down_whole_and_counted() {
+    let runner = Runner::start("s-0");
+    let discovery = Discovery::start(vec![host("s-0", runner.at, "hall-a", "active")]);
+    let mut config = Program::config(discovery.at, settings());
+    config["admin_addr"] = "127.0.0.1:0".into();
+    let program = Program::start_with(config.clone(), None);
+    let at = door_of(&program);
+    runner.call_back_to(&program);
+    let whole = config.to_string();
+    let mut no_key = config.clone();
+    no_key["settings"]["services"][0].as_object_mut().unwrap().remove("deadline");
+    let mut no_deadline = config.clone();
+    no_deadline["settings"]["services"][0]["deadline"] = 0.into();
+    let mut no_tries = config.clone();
+    no_tries["settings"]["limits"]["tryLimit"] = (-1).into();
+    let bad = [
+        String::new(),
+        whole[..whole.len() / 2].to_owned(),
+        no_key.to_string(),
+        no_deadline.to_string(),
+        no_tries.to_string(),
+    ];
+    for (number, text) in bad.iter().enumerate() {
+        std::fs::write(&program.config, text).unwrap();
+        program.signal("HUP");
+        program.log.wait("configuration not read anew, the old one stays", number + 1);
+    }
+    std::fs::write(&program.config, &whole).unwrap();
+    program.signal("HUP");
+    program.log.wait("configuration read anew", 1);
+    let stats = door(at, "STATS\n");
+    assert_eq!((figure(&stats, "conf_invalid"), figure(&stats, "conf_loaded")), (5, 1));
+    assert_eq!(served(program.at), (200, "by s-0".to_owned()), "the old settings serve on");
+}
