--- a/node/tests/operations.rs
+++ b/node/tests/operations.rs
@@ -80,6 +80,15 @@
     line.unwrap_or_else(|| panic!("{name} in {stats}")).parse().unwrap()
 }
 
+/// One runner on discovery's list, and a configuration with a door on a port of the system's choice.
+fn one_runner_with_door() -> (Runner, Discovery, Value) {
+    let runner = Runner::start("s-0");
+    let discovery = Discovery::start(vec![host("s-0", runner.at, "hall-a", "active")]);
+    let mut config = Program::config(discovery.at, settings());
+    config["admin_addr"] = "127.0.0.1:0".into();
+    (runner, discovery, config)
+}
+
 /// Where a program's door is.
 fn door_of(program: &Program) -> SocketAddr {
     let line = program.log.wait("operators' door on ", 1);
@@ -88,10 +97,7 @@
 
 #[test]
 fn the_door_says_ready_and_tells_the_figures() {
-    let runner = Runner::start("s-0");
-    let discovery = Discovery::start(vec![host("s-0", runner.at, "hall-a", "active")]);
-    let mut config = Program::config(discovery.at, settings());
-    config["admin_addr"] = "127.0.0.1:0".into();
+    let (runner, _discovery, config) = one_runner_with_door();
     let program = Program::start_with(config, None);
     let at = door_of(&program);
     runner.call_back_to(&program);
@@ -187,10 +193,7 @@
 /// number above 0 is turned down whole, and counted; a good one is taken.
 #[test]
 fn a_configuration_of_no_use_at_sighup_is_turned_down_whole_and_counted() {
-    let runner = Runner::start("s-0");
-    let discovery = Discovery::start(vec![host("s-0", runner.at, "hall-a", "active")]);
-    let mut config = Program::config(discovery.at, settings());
-    config["admin_addr"] = "127.0.0.1:0".into();
+    let (runner, _discovery, config) = one_runner_with_door();
     let program = Program::start_with(config.clone(), None);
     let at = door_of(&program);
     runner.call_back_to(&program);
