Count jobs the front turns away as errored for the class they name, known or not

Jobs of a class that the process does not know yet are answered 400 before a ticket is made (platform.rs, job(): read_head fails), and only answers to tickets were counted.

Change: job() counts a job turned away by its head or body as errored under the class that X-Priority-Class names, known or not. The registry takes at most 64 names (figures.rs, class_if_room), so clients that name anything can't grow it without end.

Test: the figures test now sends a bad head of short-pick and a job of bin-check-v2: errored 1 each.

--- a/node/src/figures.rs
+++ b/node/src/figures.rs
@@ -8,6 +8,9 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering::Relaxed};
 use std::sync::{Arc, Mutex};
 
+/// Most classes counted; what clients name beyond that is not.
+const MOST_CLASSES: usize = 64;
+
 /// How a job's final answer counts.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Counted {
@@ -72,6 +75,15 @@
         figures
     }
 
+    /// The counters of a class that clients name, where the registry has room for one more: names
+    /// that no class has must not grow it without end.
+    pub fn class_if_room(&self, name: &str) -> Option<Arc<ClassFigures>> {
+        let known = self.classes.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
+        let room = known.len() < MOST_CLASSES || known.iter().any(|(known, _)| known == name);
+        drop(known);
+        room.then(|| self.class(name))
+    }
+
     pub fn add(counter: &AtomicU64) {
         counter.fetch_add(1, Relaxed);
     }
--- a/node/src/net/platform.rs
+++ b/node/src/net/platform.rs
@@ -4,6 +4,7 @@
 //! answer of its own to a request it has handed to the core, nor keep one back.
 
 use crate::core::{Answer, Arrival, Ending, Input};
+use crate::figures::Counted;
 use crate::limits::Limits;
 use crate::net::runners::{load_object, result_bytes};
 use crate::runtime::{Here, Job, Runtime};
@@ -241,13 +242,23 @@
 
     /// A client's request, from its head to its final answer.
     async fn job(&self, arrived: sr::Time, request: &mut Request) -> Reply {
+        // A job turned away here counts as errored for the class it names, known or not: operators
+        // count a class that clients send before this process knows it.
+        let named = text(request.headers(), &HeaderName::from_static("x-priority-class")).ok().flatten();
+        let errored = named.map(|name| self.runtime.figures.class_if_room(name));
         let head = match self.read_head(request) {
             Ok(head) => head,
-            Err(what) => return Reply::bad(what),
+            Err(what) => {
+                errored.flatten().inspect(|class| class.count(Counted::Errored));
+                return Reply::bad(what);
+            }
         };
         let body = match self.read_body(request).await {
             Ok(body) => body,
-            Err(reply) => return reply,
+            Err(reply) => {
+                errored.flatten().inspect(|class| class.count(Counted::Errored));
+                return reply;
+            }
         };
         let content_type = text(request.headers(), &header::CONTENT_TYPE).ok().flatten().map(str::to_owned);
         let target = request.uri().path_and_query().map_or("/api", |target| target.as_str());
--- a/node/tests/operations.rs
+++ b/node/tests/operations.rs
@@ -104,11 +104,15 @@
     assert_eq!(door(at, "READY\n"), "OK ready\n");
     assert_eq!(served(program.at), (200, "by s-0".to_owned()));
     let refused = call(program.at, &api("short-pick", &new_id(), "5000m", "\r\nX-Attrs: slots=x"), "");
-    assert_eq!(refused.status(), 400, "a bad head counts for no class");
+    assert_eq!(refused.status(), 400);
+    let unknown = call(program.at, &api("bin-check-v2", &new_id(), "5000m", ""), "");
+    assert_eq!(unknown.status(), 400, "a class this process does not know yet");
     let stats = door(at, "STATS\n");
     assert!(stats.starts_with("OK\n") && stats.ends_with("END\n"), "{stats}");
     assert_eq!(figure(&stats, "transactions.short-pick.answered"), 1);
     assert_eq!(figure(&stats, "transactions.short-pick.deferred"), 0);
+    assert_eq!(figure(&stats, "transactions.short-pick.errored"), 1, "the bad head counts as errored");
+    assert_eq!(figure(&stats, "transactions.bin-check-v2.errored"), 1);
     assert_eq!(figure(&stats, "sends"), 1);
     assert_eq!(figure(&stats, "current"), 0);
     assert_eq!(figure(&stats, "cluster_size"), 1);
