End the door's answer to a change not carried out in time with its newline

The answer now ends like the others. A unit test holds the channel's receiver without answering and asks with 1 ms to wait: the answer is the whole line.

--- a/node/src/net/door.rs
+++ b/node/src/net/door.rs
@@ -196,7 +196,7 @@
         Ok(Ok(Ok(()))) => "OK\n".to_owned(),
         Ok(Ok(Err(why))) => format!("ERR {why}\n"),
         Ok(Err(_)) => "ERR the dispatcher is ending\n".to_owned(),
-        Err(_) => format!("ERR not carried out within {} ms: call again", limits.serving.as_millis()),
+        Err(_) => format!("ERR not carried out within {} ms: call again\n", limits.serving.as_millis()),
     }
 }
 
@@ -213,7 +213,20 @@
 
 #[cfg(test)]
 mod tests {
-    use super::{Call, parse};
+    use super::{Call, DoorLimits, carry_out, parse};
+    use crate::figures::Figures;
+    use tokio::sync::mpsc;
+
+    /// A change that the serving thread never carries out is answered with a whole line all the same.
+    #[test]
+    fn a_change_not_carried_out_in_time_gets_a_whole_line() {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_time().build().unwrap();
+        let (asks, _held) = mpsc::unbounded_channel();
+        let limits = DoorLimits { serving: std::time::Duration::from_millis(1), ..DoorLimits::default() };
+        let figures = Figures::default();
+        let said = runtime.block_on(carry_out(Call::Disable("s-0".into()), &figures, &asks, limits));
+        assert_eq!(said, "ERR not carried out within 1 ms: call again\n");
+    }
 
     #[test]
     fn calls_are_read_and_what_is_wrong_is_named() {
