--- a/node/src/core.rs
+++ b/node/src/core.rs
@@ -365,9 +365,12 @@
             false => self.tables.workers.get(runner).ok_or("no runner of that id was ever listed")?,
         };
         let changed = if out { self.banned.insert(worker) } else { self.banned.remove(&worker) };
+        if !changed {
+            return Ok(());
+        }
         let entries: Vec<_> =
             self.lists.iter().filter(|((_, w), _)| *w == worker).map(|(_, e)| e.clone()).collect();
-        if changed && !entries.is_empty() {
+        if !entries.is_empty() {
             let entries = self.as_told(entries);
             self.tell(now, sr::Event::List(sr::ListKind::Delta, entries));
         }
--- a/node/src/figures.rs
+++ b/node/src/figures.rs
@@ -65,23 +65,28 @@
 impl Figures {
     /// The counters of a class, made on first use.
     pub fn class(&self, name: &str) -> Arc<ClassFigures> {
+        self.find_or_make(name, usize::MAX).unwrap_or_default()
+    }
+
+    /// The counters of a class that clients name, where the registry has room for one more: names
+    /// that no class has must not grow it without end.
+    pub fn class_if_room(&self, name: &str) -> Option<Arc<ClassFigures>> {
+        self.find_or_make(name, MOST_CLASSES)
+    }
+
+    /// A class's counters, made where fewer than `most` classes are known.
+    fn find_or_make(&self, name: &str, most: usize) -> Option<Arc<ClassFigures>> {
         // A poisoned lock only means that a thread panicked while it held it; the counters stay true.
         let mut classes = self.classes.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
         if let Some((_, figures)) = classes.iter().find(|(known, _)| known == name) {
-            return figures.clone();
+            return Some(figures.clone());
+        }
+        if classes.len() >= most {
+            return None;
         }
         let figures = Arc::new(ClassFigures::default());
         classes.push((name.to_owned(), figures.clone()));
-        figures
-    }
-
-    /// The counters of a class that clients name, where the registry has room for one more: names
-    /// that no class has must not grow it without end.
-    pub fn class_if_room(&self, name: &str) -> Option<Arc<ClassFigures>> {
-        let known = self.classes.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
-        let room = known.len() < MOST_CLASSES || known.iter().any(|(known, _)| known == name);
-        drop(known);
-        room.then(|| self.class(name))
+        Some(figures)
     }
 
     pub fn add(counter: &AtomicU64) {
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -216,8 +216,9 @@
         net::door::start(door, runtime.figures.clone(), asks, limits)
             .map_err(|e| format!("admin_addr: {e}"))?;
         let held = runtime.clone();
-        let file = bans::place();
-        follow_bans(&runtime, &file);
+        let place = bans::place();
+        follow_bans(&runtime, &place);
+        let file = place.clone();
         actix_rt::spawn(async move {
             while let Some(net::door::Asked { runner, out, reply }) = asked.recv().await {
                 let result = held.hand(runner.clone(), out, false);
@@ -236,12 +237,11 @@
             }
         });
         let held = runtime.clone();
-        let file = bans::place();
         actix_rt::spawn(async move {
             let mut every = tokio::time::interval(held.limits.bans);
             loop {
                 every.tick().await;
-                follow_bans(&held, &file);
+                follow_bans(&held, &place);
             }
         });
         log::info!("operators' door on {at}");
--- a/node/src/net/platform.rs
+++ b/node/src/net/platform.rs
@@ -242,21 +242,17 @@
 
     /// A client's request, from its head to its final answer.
     async fn job(&self, arrived: sr::Time, request: &mut Request) -> Reply {
-        // A job turned away here counts as errored for the class it names, known or not: operators
-        // count a class that clients send before this process knows it.
-        let named = text(request.headers(), &HeaderName::from_static("x-priority-class")).ok().flatten();
-        let errored = named.map(|name| self.runtime.figures.class_if_room(name));
         let head = match self.read_head(request) {
             Ok(head) => head,
             Err(what) => {
-                errored.flatten().inspect(|class| class.count(Counted::Errored));
+                self.turned_away(request);
                 return Reply::bad(what);
             }
         };
         let body = match self.read_body(request).await {
             Ok(body) => body,
             Err(reply) => {
-                errored.flatten().inspect(|class| class.count(Counted::Errored));
+                self.turned_away(request);
                 return reply;
             }
         };
@@ -304,6 +300,16 @@
         }
     }
 
+    /// Counts a job turned away before it was handed in as errored for the class it names, known or not:
+    /// operators count a class that clients send before this process knows it. Off the path of the jobs
+    /// that are handed in, which the runtime counts.
+    fn turned_away(&self, request: &Request) {
+        let named = text(request.headers(), &HeaderName::from_static("x-priority-class")).ok().flatten();
+        if let Some(class) = named.and_then(|name| self.runtime.figures.class_if_room(name)) {
+            class.count(Counted::Errored);
+        }
+    }
+
     fn read_head(&self, request: &Request) -> Result<Head, String> {
         let headers = request.headers();
         let optional = |name: &'static str| text(headers, &HeaderName::from_static(name));
--- a/node/tests/operations.rs
+++ b/node/tests/operations.rs
@@ -30,11 +30,8 @@
 
 #[test]
 fn a_new_process_takes_the_shared_socket_and_the_old_one_lets_go_of_it() {
-    let runner = Runner::start("s-0");
-    let discovery = Discovery::start(vec![host("s-0", runner.at, "hall-a", "active")]);
-    let socket = TcpListener::bind("127.0.0.1:0").unwrap();
-    let mut config = Program::config(discovery.at, settings());
-    config["listen"] = socket.local_addr().unwrap().to_string().into();
+    let (runner, _discovery, mut config) = one_runner(false);
+    let socket = shared_socket(&mut config);
     let mut old = on_shared(&config, &socket, None);
     runner.call_back_to(&old);
     assert_eq!(old.at, socket.local_addr().unwrap(), "it serves where the socket listens");
@@ -80,15 +77,25 @@
     line.unwrap_or_else(|| panic!("{name} in {stats}")).parse().unwrap()
 }
 
-/// One runner on discovery's list, and a configuration with a door on a port of the system's choice.
-fn one_runner_with_door() -> (Runner, Discovery, Value) {
+/// One runner on discovery's list, and a configuration, with a door on a port of the system's choice
+/// or without one.
+fn one_runner(door: bool) -> (Runner, Discovery, Value) {
     let runner = Runner::start("s-0");
     let discovery = Discovery::start(vec![host("s-0", runner.at, "hall-a", "active")]);
     let mut config = Program::config(discovery.at, settings());
-    config["admin_addr"] = "127.0.0.1:0".into();
+    if door {
+        config["admin_addr"] = "127.0.0.1:0".into();
+    }
     (runner, discovery, config)
 }
 
+/// A clients' socket that the test holds, as the platform does, where the configuration says it listens.
+fn shared_socket(config: &mut Value) -> TcpListener {
+    let socket = TcpListener::bind("127.0.0.1:0").unwrap();
+    config["listen"] = socket.local_addr().unwrap().to_string().into();
+    socket
+}
+
 /// Where a program's door is.
 fn door_of(program: &Program) -> SocketAddr {
     let line = program.log.wait("operators' door on ", 1);
@@ -97,7 +104,7 @@
 
 #[test]
 fn the_door_says_ready_and_tells_the_figures() {
-    let (runner, _discovery, config) = one_runner_with_door();
+    let (runner, _discovery, config) = one_runner(true);
     let program = Program::start_with(config, None);
     let at = door_of(&program);
     runner.call_back_to(&program);
@@ -161,12 +168,8 @@
 
 #[test]
 fn a_runner_taken_out_by_hand_gets_nothing_new_until_it_is_put_back_even_over_an_upgrade() {
-    let runner = Runner::start("s-0");
-    let discovery = Discovery::start(vec![host("s-0", runner.at, "hall-a", "active")]);
-    let socket = TcpListener::bind("127.0.0.1:0").unwrap();
-    let mut config = Program::config(discovery.at, settings());
-    config["listen"] = socket.local_addr().unwrap().to_string().into();
-    config["admin_addr"] = "127.0.0.1:0".into();
+    let (runner, discovery, mut config) = one_runner(true);
+    let socket = shared_socket(&mut config);
     let mut old = on_shared(&config, &socket, None);
     let at = door_of(&old);
     runner.call_back_to(&old);
@@ -197,7 +200,7 @@
 /// number above 0 is turned down whole, and counted; a good one is taken.
 #[test]
 fn a_configuration_of_no_use_at_sighup_is_turned_down_whole_and_counted() {
-    let (runner, _discovery, config) = one_runner_with_door();
+    let (runner, _discovery, config) = one_runner(true);
     let program = Program::start_with(config.clone(), None);
     let at = door_of(&program);
     runner.call_back_to(&program);
