Put new settings at SIGHUP to use: classes come, go and change; attempts bound per job

Design: numbers of classes and tenants stay (settings/src/renew.rs); new terms get a new number under the same name, the module is told by Event::Retuned and only appends; a request keeps the least number of attempts that was allowed while it was under way.

Ruled out: the file (read at 4.5 and 17.5 s, five classes), the list, runners (no error more than before).

--- a/keys/src/store.rs
+++ b/keys/src/store.rs
@@ -114,19 +114,23 @@
 impl Store {
     /// An empty store with a rule for each class.
     pub fn new(bounds: Bounds, rules: Vec<Rule>) -> Store {
-        let lane = || LinkedHashMap::with_hasher(Hash::default());
-        let class = |rule: Rule| {
-            let rule = Rule { keep: rule.keep.max(rule.window), ..rule };
-            Class { rule, doubt_until: Time(0), served: lane(), uncertain: lane() }
-        };
-        Store {
+        let mut store = Store {
             bounds,
-            classes: rules.into_iter().map(class).collect(),
+            classes: Vec::new(),
             under_way: HashMap::default(),
             held: Held::default(),
             counts: Counts::default(),
             scratch: Vec::new(),
-        }
+        };
+        rules.into_iter().for_each(|rule| store.add_class(rule));
+        store
+    }
+
+    /// One more class, numbered after those before it.
+    pub fn add_class(&mut self, rule: Rule) {
+        let lane = || LinkedHashMap::with_hasher(Hash::default());
+        let rule = Rule { keep: rule.keep.max(rule.window), ..rule };
+        self.classes.push(Class { rule, doubt_until: Time(0), served: lane(), uncertain: lane() });
     }
 
     /// Until then a class's marked later try under an unknown key fails: a predecessor may have sent it
--- a/node/src/core.rs
+++ b/node/src/core.rs
@@ -15,6 +15,9 @@
 
 #[cfg(test)]
 mod model;
+mod retune;
+
+pub use retune::Retune;
 
 /// Whoever waits for an answer: a number that a front made up.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -139,6 +142,8 @@
     List(Source, sr::ListKind, Vec<Listed>),
     /// A call for the list failed or its watch broke.
     ListFailed,
+    /// New settings hold from now on.
+    Retune(Box<Retune>),
     /// The list is to be asked for at this address from now on.
     RosterAt(SocketAddr),
     /// The program ends then: whatever is unanswered by that time is answered.
@@ -235,12 +240,17 @@
 /// The dispatcher's state.
 pub struct Core<J> {
     balancer: sr::Balancer,
+    /// The settings in force: every class and tenant ever numbered, in place.
+    settings: sr::Settings,
     tables: Tables,
+    /// Classes that the settings no longer name, and until when they are taken still.
+    vanished: HashMap<u32, sr::Time>,
+    /// Whether a request must name its tenant.
+    with_tenants: bool,
     /// Where the list is asked for.
     roster: SocketAddr,
     /// Most requests held at once; more are refused unseen.
     most: usize,
-    hold_off: sr::Span,
     next: u32,
     requests: HashMap<u32, Request<J>>,
     ids: HashMap<Rc<str>, u32>,
@@ -251,11 +261,8 @@
     stop: Option<sr::Time>,
     /// The clients' keys, where they are kept.
     keys: Option<keys::Store>,
-    /// What a repeat may do, by class.
-    effects_of: Vec<sr::Effect>,
     /// Where runners stand, by number.
     places: HashMap<u32, keys::Place>,
-    most_hold_off: sr::Span,
     /// What each source last said of its runners.
     lists: BTreeMap<(Source, u32), sr::ListEntry>,
     /// Runners taken out by hand: the module hears of them as draining, whatever the lists say.
@@ -283,14 +290,13 @@
         now: sr::Time,
         most: usize,
     ) -> Result<Core<J>, sr::SettingsError> {
-        let shortest = settings.classes.iter().map(|class| class.objective).min();
         Ok(Core {
             keys: None,
-            effects_of: settings.classes.iter().map(|class| class.effect).collect(),
             places: HashMap::new(),
-            most_hold_off: settings.max_hold_off,
-            hold_off: settings.max_hold_off.min(shortest.unwrap_or_default()),
-            balancer: sr::Balancer::new(settings, seed, now)?,
+            balancer: sr::Balancer::new(settings.clone(), seed, now)?,
+            with_tenants: !settings.tenants.is_empty(),
+            vanished: HashMap::new(),
+            settings,
             tables,
             roster,
             most,
@@ -318,8 +324,8 @@
 
     /// Whether a client's key counts for this class: where a repeat may do harm.
     pub fn wants_key(&self, class: u32) -> bool {
-        let effect = self.effects_of.get(class as usize);
-        self.keys.is_some() && effect.is_some_and(|effect| *effect != sr::Effect::Safe)
+        let class = self.settings.classes.get(class as usize);
+        self.keys.is_some() && class.is_some_and(|class| class.effect != sr::Effect::Safe)
     }
 
     /// The keys, where they are kept.
@@ -332,6 +338,12 @@
         self.requests.get(&(run.0 as u32)).and_then(|request| self.sent_of(request))
     }
 
+    /// How long whoever is refused unseen is to stay away.
+    fn hold_off(&self) -> sr::Span {
+        let shortest = self.settings.classes.iter().map(|class| class.objective).min();
+        self.settings.max_hold_off.min(shortest.unwrap_or_default())
+    }
+
     /// The name tables, for fronts that check what clients name.
     pub fn tables(&self) -> &Tables {
         &self.tables
@@ -423,6 +435,7 @@
             }
             Input::List(source, kind, listed) => self.list(now, source, kind, listed),
             Input::ListFailed => self.tell(now, sr::Event::ListFailed),
+            Input::Retune(retune) => self.retune(now, *retune),
             Input::RosterAt(at) => {
                 // At once, and not when the module next asks: it waits for the old watch to fall silent.
                 if self.roster != at {
@@ -450,7 +463,7 @@
             arrival;
         if self.tickets.len() >= self.most {
             // Nothing of it has run: a refusal is safe for every class.
-            return self.at_once(ticket, Answer::Refused(self.hold_off));
+            return self.at_once(ticket, Answer::Refused(self.hold_off()));
         }
         // Runners tell requests apart by their ids: a second one under a live id can't be sent.
         let twin = self.ids.get(&id).and_then(|twin| self.requests.get(twin));
@@ -509,7 +522,7 @@
         use keys::Admission::*;
         match admission {
             HandBack(result) => Answer::Served(result),
-            Full(wait) => Answer::Refused(wait.min(self.most_hold_off)),
+            Full(wait) => Answer::Refused(wait.min(self.settings.max_hold_off)),
             Spent => {
                 Answer::Failed("an earlier try under this key may have run, and a repeat could run again")
             }
@@ -572,7 +585,7 @@
         let sent = ran.map(|attempt| {
             let place = self.places.get(&attempt.runner).copied().map(|place| {
                 // Only as much of it as tells halls apart that drop a repeat for each other.
-                match self.effects_of[request.class as usize] {
+                match self.settings.classes[request.class as usize].effect {
                     sr::Effect::Keyed(sr::Group::All) => keys::Place { zone: 0, cell: 0 },
                     sr::Effect::Keyed(sr::Group::Zone) => keys::Place { cell: 0, ..place },
                     sr::Effect::Keyed(sr::Group::Cell) | sr::Effect::Safe | sr::Effect::Unsafe => place,
@@ -738,10 +751,11 @@
     /// what is still out has timed out. The answer comes first: the module must not try again on a
     /// time-out that it hears of here.
     fn overdue(&mut self, now: sr::Time, request: u32, stopped: bool) {
+        let hold_off = self.hold_off();
         if let Some(held) = self.requests.get_mut(&request).filter(|r| !r.answered) {
             // What was never sent can be tried again by any class.
             let answer = match held.attempts.is_empty() && !held.bound {
-                true => Answer::Refused(self.hold_off),
+                true => Answer::Refused(hold_off),
                 false => Answer::Failed("not done by the deadline"),
             };
             let ends = |(_, deadline): &mut (Ticket, sr::Time)| *deadline <= now || stopped;
--- a/node/src/limits.rs
+++ b/node/src/limits.rs
@@ -69,6 +69,8 @@
     pub stop: Duration,
     /// What the store of clients' keys may hold, where keys are kept.
     pub keys: Option<keys::Bounds>,
+    /// Time for which a class that new settings no longer name is taken still.
+    pub vanished: Duration,
     /// Time between two looks at the file of bans that a process shares with its successor.
     pub bans: Duration,
 }
@@ -132,6 +134,9 @@
             keys: None,
             // A ban holds from the yes, 1 s after the call at the latest, at either process.
             bans: Duration::from_millis(250),
+            // New settings are in use 1.2 s after SIGHUP; a client's last job of an old class is on its way
+            // for a while then.
+            vanished: Duration::from_secs(2),
         }
     }
 }
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -109,22 +109,36 @@
     Ok((config, text))
 }
 
-/// Reads the configuration anew. Discovery may have moved; what else has changed waits for a start.
-/// A file that makes no sense, or is half written, changes nothing.
-fn reload(runtime: &Runtime, text: &mut Value) {
+/// Reads the configuration anew: discovery may have moved, and new settings hold from now on. A file
+/// that makes no sense, or is half written, changes nothing.
+fn reload(runtime: &Runtime, text: &mut Value, kept: Option<&operator::Keys>) {
     let read = read_config().and_then(|(config, text)| match config.settings.settle() {
-        Ok(_) => Ok((config, text)),
+        Ok(settled) => Ok((config, text, settled)),
         Err(e) => Err(format!("NODE_CONFIG: settings: {e}")),
     });
     match read {
-        Ok((config, new)) => {
+        Ok((config, new, (settings, tables))) => {
             figures::Figures::add(&runtime.figures.conf_loaded);
             log::info!("configuration read anew, discovery at {}", config.discovery);
-            for key in ["name", "listen", "limits", "settings"] {
-                if new[key] != text[key] {
+            for key in ["/name", "/listen", "/limits", "/settings/limits/connIdle"]
+                .into_iter()
+                .chain(["/settings/limits/connectTimeout", "/settings/limits/maxOpen"])
+            {
+                if new.pointer(key) != text.pointer(key) {
+                    let key = key.trim_start_matches('/').replace('/', ".");
                     log::warn!("NODE_CONFIG: {key}: has changed, which takes effect at the next start");
                 }
             }
+            if new["settings"] != text["settings"] {
+                let rules = kept.iter().flat_map(|kept| settings.classes.iter().map(|c| kept.rule(c)));
+                let rules = rules.collect();
+                let until = runtime.clock.now() + sr::Span(runtime.limits.vanished.as_nanos() as u64);
+                let (classes, attempts) = (tables.classes.all().join(","), settings.max_attempts);
+                let retune = crate::core::Retune { settings, tables, rules, until };
+                runtime.feed(Input::Retune(Box::new(retune)));
+                runtime.show_classes();
+                log::info!(classes = classes.as_str(), attempts = attempts; "new settings are in use");
+            }
             *text = new;
             runtime.feed(Input::RosterAt(config.discovery));
         }
@@ -146,10 +160,7 @@
     let limits = limits.with_keys(bounds);
     let rules = kept.as_ref().map(|kept| settings.classes.iter().map(|class| kept.rule(class)).collect());
     let doubts: Vec<_> = kept.iter().flat_map(|k| settings.classes.iter().map(|c| k.doubt(c))).collect();
-    let snapshot_file = kept.and_then(|kept| kept.snapshot);
-    let deadlines = settings.classes.iter().map(|class| class.deadline).collect();
-    let keyed = settings.classes.iter().map(|c| c.effect != sr::Effect::Safe).collect();
-    let with_tenants = !settings.tenants.is_empty();
+    let snapshot_file = kept.as_ref().and_then(|kept| kept.snapshot.clone());
     let clock = Clock::new();
     let store = limits.keys.zip(rules).map(|(bounds, rules)| keys::Store::new(bounds, rules));
     let place = snapshot_file.as_ref().map(snapshots::Place::take).transpose()?;
@@ -160,6 +171,7 @@
         core.keep_keys(store);
     }
     let runtime = Runtime::new(core, clock, limits);
+    runtime.show_classes();
     if let (Some(place), Some(now)) = (&place, snapshots::of(&runtime, false)) {
         // Before the first request: else a kill would leave an orderly end's snapshot to be trusted.
         place.write(&now).map_err(|e| format!("keys.snapshot.file: {e}"))?;
@@ -180,7 +192,7 @@
     let backlog = runtime.limits.backlog;
     let second = gateway.map(|gateway| {
         let at = gateway.listen;
-        let front = Faktory::new(&runtime, gateway, deadlines, with_tenants)?;
+        let front = Faktory::new(&runtime, gateway)?;
         Ok((front, platform::listen(at, backlog).map_err(|e| format!("listen: {at}: {e}"))?))
     });
     let second = second.transpose().map_err(|e: String| format!("--config: faktory: {e}"))?;
@@ -206,7 +218,7 @@
     let timer = runtime.clone();
     actix_rt::spawn(async move { timer.keep_time().await });
     let bound = listener.local_addr().ok();
-    let front = platform::Front::new(&runtime, keyed, with_tenants);
+    let front = platform::Front::new(&runtime);
     actix_rt::spawn(front.clone().serve(listener));
     let listen = bound.unwrap_or(config.listen);
     if let Some(door) = door {
@@ -263,7 +275,7 @@
     // Also while the program ends: what it has taken still goes to runners that the list allows.
     actix_rt::spawn(async move {
         while hang_up.recv().await.is_some() {
-            reload(&held, &mut text);
+            reload(&held, &mut text, kept.as_ref());
             if let Some(front) = &second {
                 front.reload();
             }
--- a/node/src/net/faktory.rs
+++ b/node/src/net/faktory.rs
@@ -268,8 +268,6 @@
     gateway: Gateway,
     password: Option<String>,
     /// The class's own patience, by class.
-    deadlines: Vec<sr::Span>,
-    with_tenants: bool,
     identities: Option<Arc<Identities>>,
     workers: RefCell<HashMap<String, Worker>>,
     attempts: RefCell<HashMap<AttemptId, (String, Rc<str>)>>,
@@ -302,12 +300,7 @@
     /// # Errors
     ///
     /// Names the key at fault.
-    pub fn new(
-        runtime: &Rc<Runtime>,
-        gateway: Gateway,
-        deadlines: Vec<sr::Span>,
-        with_tenants: bool,
-    ) -> Result<Rc<Faktory>, String> {
+    pub fn new(runtime: &Rc<Runtime>, gateway: Gateway) -> Result<Rc<Faktory>, String> {
         let read = |path: &PathBuf| {
             let text = std::fs::read_to_string(path);
             text.map_err(|e| format!("password_file: {}: {e}", path.display()))
@@ -318,8 +311,6 @@
             runtime: runtime.clone(),
             gateway,
             password: password.map(|text| text.trim().to_owned()),
-            deadlines,
-            with_tenants,
             identities,
             workers: RefCell::default(),
             attempts: RefCell::default(),
@@ -640,20 +631,18 @@
             (None, Some(route)) => &route.class,
             (None, None) => return Err("queue and jobtype match no route".to_owned()),
         };
-        let class = self.runtime.with_tables(|tables| tables.classes.get(class_name));
-        let class = class.ok_or("custom names no known class")?;
+        let class = self.runtime.with_class(class_name, |number, class| (number, class.deadline));
+        let (class, deadline) = class.ok_or("custom names no known class")?;
         // An identity speaks for its member alone; only where nothing says it may the job.
         let settled = peer.member.as_deref().or(route.and_then(|r| r.member.as_deref()));
         let named = string(&names.member)?;
         let member = settled.or(named).or(self.gateway.member.as_deref());
-        let tenant = member.and_then(|name| self.runtime.with_tables(|tables| tables.tenants.get(name)));
-        if self.with_tenants && tenant.is_none() {
-            return Err("no known member: neither identity, route nor custom names one".to_owned());
-        }
+        let tenant = self.runtime.tenant(member);
+        let tenant = tenant.map_err(|()| "no known member: neither identity, route nor custom names one")?;
         let patience = match (figure(&names.timeout_ms)?, route.and_then(|r| r.deadline_ms)) {
             (Some(ms), _) => sr::Span::from_secs(ms.min(86_400_000.0) / 1e3),
             (None, Some(ms)) => sr::Span::from_secs(ms as f64 / 1e3),
-            (None, None) => self.deadlines[class as usize],
+            (None, None) => deadline,
         };
         let key = string(&names.key)?;
         // It becomes a header where a runner of the platform gets the job.
--- a/node/src/net/faktory/model.rs
+++ b/node/src/net/faktory/model.rs
@@ -87,7 +87,7 @@
     let runtime = Runtime::new(core, clock, limits);
     let file = "listen = \"127.0.0.1:0\"\nplaintext = true\nfetch_wait_ms = 1\n[[route]]\nclass = \"c\"\n";
     let gateway = toml::from_str(file).unwrap();
-    let front = Faktory::new(&runtime, gateway, vec![sr::Span::from_secs(5.0)], false).unwrap();
+    let front = Faktory::new(&runtime, gateway).unwrap();
     runtime.add_link(front.clone());
     let timer = runtime.clone();
     actix_rt::spawn(async move { timer.keep_time().await });
--- a/node/src/net/platform.rs
+++ b/node/src/net/platform.rs
@@ -81,9 +81,6 @@
 /// The front.
 pub struct Front {
     runtime: Rc<Runtime>,
-    /// Whether each class is keyed.
-    keyed: Vec<bool>,
-    with_tenants: bool,
     connections: RefCell<HashMap<u64, (Rc<Connection>, AbortHandle)>>,
     next: Cell<u64>,
     closed: Notify,
@@ -92,11 +89,9 @@
 }
 
 impl Front {
-    pub fn new(runtime: &Rc<Runtime>, keyed: Vec<bool>, with_tenants: bool) -> Rc<Front> {
+    pub fn new(runtime: &Rc<Runtime>) -> Rc<Front> {
         Rc::new(Front {
             runtime: runtime.clone(),
-            keyed,
-            with_tenants,
             connections: RefCell::default(),
             next: Cell::new(0),
             closed: Notify::new(),
@@ -245,6 +240,7 @@
         let head = match self.read_head(request) {
             Ok(head) => head,
             Err(what) => {
+                log::debug!("a request is turned away: {what}");
                 self.turned_away(request);
                 return Reply::bad(what);
             }
@@ -321,15 +317,15 @@
             return Err("x-request-id is malformed".to_owned());
         }
         let class_name = needed("x-priority-class")?;
-        let class = self.runtime.with_tables(|tables| tables.classes.get(class_name));
-        let class = class.ok_or("x-priority-class names no known class")?;
+        // Only jobs of a keyed class carry a key: one that must never run twice may come without.
+        let known = |number, class: &sr::Class| (number, matches!(class.effect, sr::Effect::Keyed(_)));
+        let class = self.runtime.with_class(class_name, known);
+        let (class, keyed) = class.ok_or("x-priority-class names no known class")?;
         let tenant_name = optional("x-tenant-id")?;
-        let tenant = tenant_name.and_then(|name| self.runtime.with_tables(|tables| tables.tenants.get(name)));
-        if self.with_tenants && tenant.is_none() {
-            return Err("x-tenant-id is missing or names no known tenant".to_owned());
-        }
+        let tenant = self.runtime.tenant(tenant_name);
+        let tenant = tenant.map_err(|()| "x-tenant-id is missing or names no known tenant")?;
         let key = optional("idempotency-key")?;
-        if self.keyed[class as usize] && key.is_none_or(str::is_empty) {
+        if keyed && key.is_none_or(str::is_empty) {
             return Err("idempotency-key is missing".to_owned());
         }
         let patience = timeout(needed("x-timeout")?).ok_or("x-timeout is malformed")?;
--- a/node/src/runtime.rs
+++ b/node/src/runtime.rs
@@ -166,6 +166,23 @@
         read(self.core.borrow().tables())
     }
 
+    /// Reads the number and the terms of a class that clients may name now.
+    pub fn with_class<T>(&self, name: &str, read: impl FnOnce(u32, &sr::Class) -> T) -> Option<T> {
+        let core = self.core.borrow();
+        core.class(self.clock.now(), name).map(|(number, class)| read(number, class))
+    }
+
+    /// The tenant that a client names, if it names a known one.
+    ///
+    /// # Errors
+    ///
+    /// It must name one and does not.
+    pub fn tenant(&self, name: Option<&str>) -> Result<Option<u32>, ()> {
+        let core = self.core.borrow();
+        let tenant = name.and_then(|name| core.tables().tenants.get(name));
+        if core.with_tenants() && tenant.is_none() { Err(()) } else { Ok(tenant) }
+    }
+
     /// Reads from the keys that the core keeps, if it keeps any.
     pub fn with_keys<T>(&self, read: impl FnOnce(&Core<Rc<Job>>, &keys::Store) -> T) -> Option<T> {
         let core = self.core.borrow();
@@ -201,6 +218,14 @@
         classes[class as usize].clone()
     }
 
+    /// Shows the figures of every class from now on, those without a job yet too.
+    pub fn show_classes(&self) {
+        let all = self.with_tables(|tables| tables.classes.all().len());
+        if let Some(last) = all.checked_sub(1) {
+            self.class_figures(last as u32);
+        }
+    }
+
     /// An operator's call: takes a runner out by hand, or puts it back.
     ///
     /// # Errors
--- a/node/tests/operations.rs
+++ b/node/tests/operations.rs
@@ -71,6 +71,12 @@
     answer
 }
 
+/// A runner's word on a job, as the runner `s-0` would give it.
+fn call_back(at: SocketAddr, id: &str, state: &str) -> u16 {
+    let body = serde_json::json!({"id": id, "from": "s-0", "state": state, "result": "by s-0"}).to_string();
+    call(at, "POST /v1/job-events HTTP/1.1", &body).status()
+}
+
 /// A figure from the answer to STATS.
 fn figure(stats: &str, name: &str) -> u64 {
     let line = stats.lines().find_map(|line| line.strip_prefix(&format!("{name}=")));
@@ -230,3 +236,56 @@
     assert_eq!((figure(&stats, "conf_invalid"), figure(&stats, "conf_loaded")), (5, 1));
     assert_eq!(served(program.at), (200, "by s-0".to_owned()), "the old settings serve on");
 }
+
+/// A class that appears is served under its own terms, one that vanishes is turned away once clients have
+/// had time to hear of it, a stricter effect holds for what comes from then on, and what was under way
+/// keeps its class and is served.
+#[test]
+fn new_settings_at_sighup_are_put_to_use_and_jobs_under_way_keep_their_class() {
+    let (runner, _discovery, mut config) = one_runner(true);
+    let program = Program::start_with(config.clone(), None);
+    let at = door_of(&program);
+    runner.call_back_to(&program);
+    let post = |class: &str, keyed: bool| {
+        let request = api(class, &new_id(), "5000m", "");
+        let request = if keyed { request } else { request.replace("Idempotency-Key", "X-Other") };
+        call(program.at, &request, "job").status()
+    };
+    assert_eq!((post("bin-check", false), post("bin-check-v2", false)), (200, 400));
+    let services = config["settings"]["services"].as_array_mut().unwrap();
+    let mut appears = services.iter().find(|class| class["name"] == "bin-check").unwrap().clone();
+    appears["name"] = "bin-check-v2".into();
+    services.push(appears);
+    services.retain(|class| class["name"] != "pick-route");
+    let stricter = services.iter_mut().find(|class| class["name"] == "bin-check").unwrap();
+    stricter["repeat"] = "dedup".into();
+    stricter["group"] = "all".into();
+    stricter["window"] = 10_000_000_000u64.into();
+    let unsafe_now = services.iter_mut().find(|class| class["name"] == "short-pick").unwrap();
+    unsafe_now["repeat"] = "fragile".into();
+    config["settings"]["limits"]["tryLimit"] = 2.into();
+    // Under way while the settings change.
+    let (id, to) = (new_id(), program.at);
+    let request = api("pick-route", &id, "5000m", "");
+    let under_way = std::thread::spawn(move || call(to, &request, "hang").status());
+    runner.seen.wait("POST hang", 1);
+    std::fs::write(&program.config, config.to_string()).unwrap();
+    program.signal("HUP");
+    program.log.wait("new settings are in use", 1);
+    assert_eq!(call_back(program.at, &id, "done"), 200);
+    assert_eq!(under_way.join().unwrap(), 200, "what was under way keeps its class");
+    assert_eq!(post("bin-check-v2", false), 200, "the class that appeared is served");
+    assert_eq!(post("bin-check", false), 400, "the stricter effect asks for a key");
+    assert_eq!(post("bin-check", true), 200);
+    assert_eq!(post("short-pick", false), 200, "what must never run twice needs no key");
+    let end = std::time::Instant::now() + PATIENCE;
+    while post("pick-route", true) == 200 {
+        assert!(std::time::Instant::now() < end, "the class that vanished is served for ever");
+        std::thread::sleep(std::time::Duration::from_millis(100));
+    }
+    let stats = door(at, "STATS\n");
+    assert_eq!(figure(&stats, "transactions.bin-check-v2.answered"), 1);
+    assert_eq!(figure(&stats, "transactions.bin-check.answered"), 2, "old terms and new, one name");
+    assert!(figure(&stats, "transactions.pick-route.answered") >= 1);
+    assert_eq!(figure(&stats, "conf_loaded"), 1);
+}
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -8,8 +8,12 @@
 use sablerun as sr;
 use std::collections::HashMap;
 
+mod renew;
+
+pub use renew::{Renewed, renew};
+
 /// Names in the order in which they were first met.
-#[derive(Default)]
+#[derive(Clone, Debug, Default)]
 pub struct Names {
     numbers: HashMap<String, u32>,
     names: Vec<String>,
@@ -85,6 +89,7 @@
 }
 
 /// The tables that turn names into the module's ids, and the meaning of a report's fields.
+#[derive(Clone, Debug)]
 pub struct Tables {
     pub workers: Names,
     pub zones: Names,
@@ -364,14 +369,20 @@
             (name.clone(), field)
         });
         let fields = fields.collect();
-        let tables = Tables {
-            workers: Names::default(),
-            zones,
-            kinds,
-            classes: Names::of(env.services.iter().map(|service| &service.name)),
-            tenants: Names::of(env.projects.iter().map(|project| &project.name)),
-            fields,
-        };
+        let names = (
+            Names::of(env.services.iter().map(|s| &s.name)),
+            Names::of(env.projects.iter().map(|p| &p.name)),
+        );
+        // Numbers are places in these lists: a name twice would shift all that follow.
+        for (what, named, listed) in
+            [("services", &names.0, env.services.len()), ("projects", &names.1, env.projects.len())]
+        {
+            if named.all().len() < listed {
+                return Err(format!("{what}: a name stands twice"));
+            }
+        }
+        let tables =
+            Tables { workers: Names::default(), zones, kinds, classes: names.0, tenants: names.1, fields };
         settings.validate().map_err(|e| e.to_string())?;
         Ok((settings, tables))
     }
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -31,8 +31,7 @@
 const PEER_GAIN: f64 = 0.2;
 /// Share of the objective that an attempt may wait for its start before it is moved.
 const PATIENCE: f64 = 0.25;
-/// Share of a mean job's stretch beyond its running time that a held request may wait through before
-/// it is refused: later starts mostly end late, and take the slot of one that would not.
+/// Share of a mean job's stretch that a held request may wait through: later starts mostly end late.
 const SLACK_USED: f64 = 0.3;
 /// Half-life of what was missed of a class at a worker, in seconds.
 const MISS_HALF_LIFE: f64 = 10.0;
@@ -40,8 +39,7 @@
 const MISS_LIMIT: f64 = 0.5;
 /// Share of its aim by which a hinted job must be expected to end where it is sent: hints and paces err.
 const IN_TIME: f64 = 0.9;
-/// Times its usual running time after which an attempt is overdue, where answers are lost and elsewhere,
-/// and the share from which on they are.
+/// Times its usual running time after which an attempt is overdue: where answers are lost, and elsewhere.
 const OVERDUE: (f64, f64) = (1.4, 3.0);
 const LOSING: f64 = 0.3;
 /// What starts at home must be late more often, beyond the price of crossing: shares differ so by chance.
@@ -155,6 +153,7 @@
     came: f64,
     aim: f64,
     deadline: Time,
+    most_attempts: usize,
     /// Beyond `latest` a start is of no use; at `withdraw` a waiting attempt is given up.
     latest: Time,
     withdraw: Time,
@@ -176,10 +175,12 @@
     }
 }
 
-/// The dispatcher.
+/// The dispatcher. Its default has no classes and takes nothing: [`Balancer::new`] makes one of use.
+#[derive(Default)]
 pub struct Balancer {
     settings: Settings,
-    rng: fastrand::Rng,
+    /// State of the random numbers.
+    seed: u64,
     epoch: Time,
     /// The clock, when it last jumped, seconds since the start, number and actions so far of this event.
     now: Time,
@@ -231,39 +232,43 @@
     /// Names the setting that makes no sense.
     pub fn new(settings: Settings, seed: u64, now: Time) -> Result<Balancer, SettingsError> {
         settings.validate()?;
-        let means = settings.classes.iter().map(|class| class.objective.secs().max(1e-3));
-        let share = 1.0 / f64::from(settings.dispatchers);
-        Ok(Balancer {
-            classes: means.map(|mean| ClassStat { mean, seen: 1.0, longest: 0.0 }).collect(),
-            tenants: settings.tenants.iter().map(|t| t.quota_per_s * share).map(|r| (r, r, 0.0)).collect(),
-            settings,
-            rng: fastrand::Rng::with_seed(seed),
+        let mut balancer = Balancer {
+            seed,
             epoch: now,
             now,
+            stalled: now,
             safe_idle: f64::INFINITY,
             list_backoff: 0.2,
-            late_starts: [0.0; 2],
-            turned_away: 0.0,
-            erring: 0.0,
-            losing: 0.0,
-            again: (0.0, 0.0),
-            taken: VecDeque::new(),
-            further: VecDeque::new(),
-            at: 0.0,
-            event: 0,
-            stalled: now,
-            out: Vec::new(),
-            entries: Vec::new(),
-            workers: Vec::new(),
-            peers: Vec::new(),
-            requests: HashMap::new(),
-            held: BTreeSet::new(),
-            pumping: false,
             mean_work: 0.1,
             scale: (SCALE_PRIOR, 10.0),
-            base_latency: 0.0,
-            subscribing: false,
-        })
+            ..Balancer::default()
+        };
+        balancer.retune(settings);
+        Ok(balancer)
+    }
+
+    /// Takes settings on: classes and tenants keep their numbers, and requests under way their limit.
+    fn retune(&mut self, mut settings: Settings) {
+        settings.classes.extend(self.settings.classes.iter().skip(settings.classes.len()).cloned());
+        for (t, tenant) in settings.tenants.iter().enumerate() {
+            let rate = tenant.quota_per_s * (1.0 / f64::from(settings.dispatchers));
+            self.tenants.resize(self.tenants.len().max(t + 1), (rate, rate, self.at));
+            self.tenants[t].0 = rate;
+        }
+        for class in settings.classes.iter().skip(self.classes.len()) {
+            self.classes.push(ClassStat { mean: class.objective.secs().max(1e-3), seen: 1.0, longest: 0.0 });
+        }
+        for request in self.requests.values_mut() {
+            request.most_attempts = request.most_attempts.min(settings.max_attempts as usize);
+        }
+        self.settings = settings;
+    }
+
+    fn chance(&mut self) -> f64 {
+        let mut rng = fastrand::Rng::with_seed(self.seed);
+        let chance = rng.f64();
+        self.seed = rng.get_seed();
+        chance
     }
 
     /// Takes one event and appends what is to be done.
@@ -275,7 +280,7 @@
             // Calls for the list where it must be asked for, and begins to probe at a time of its own.
             self.list_failed();
             if self.settings.probing {
-                let wait = Span::from_secs(STALE * self.rng.f64());
+                let wait = Span::from_secs(STALE * self.chance());
                 self.out.push(Action::Timer(now + wait, HOUSEKEEPING));
             }
         }
@@ -303,6 +308,7 @@
                     self.reported(i, report);
                 }
             }
+            Event::Retuned(settings) => self.retune(*settings),
             Event::Timer(PUMP) => self.pumping = false,
             Event::Timer(HOUSEKEEPING) => self.housekeeping(),
             Event::Timer(SUBSCRIBE) => {
@@ -371,14 +377,13 @@
     fn list_failed(&mut self) {
         if self.settings.discovery == Discovery::Asked && !self.subscribing {
             self.subscribing = true;
-            let wait = self.list_backoff * self.rng.f64();
+            let wait = self.list_backoff * self.chance();
             self.list_backoff = (self.list_backoff * 2.0).min(2.0);
             self.out.push(Action::Timer(self.now + Span::from_secs(wait), SUBSCRIBE));
         }
     }
 
-    /// Probes entries without news where probes are allowed, so often that a worker gets no more probes
-    /// from many dispatchers than from `PROBERS`.
+    /// Probes entries without news, so often that many dispatchers probe a worker no more than `PROBERS`.
     fn housekeeping(&mut self) {
         let psi = STALE * (f64::from(self.settings.dispatchers) / PROBERS).max(1.0);
         for (entry, w) in self.entries.iter().zip(&mut self.workers) {
@@ -485,10 +490,9 @@
         (self.settings.cold_from + rise).min(1.0)
     }
 
-    /// Turns to send a cold worker a mean job. All dispatchers together have as many a second as fit in
-    /// its budget; by their numbers, they have them one after the other. A turn not used while the
-    /// budget's window lasts is lost, so that no window sums up those of others. Guards against the herd
-    /// on a worker that starts; could do harm where few dispatchers carry most of the traffic.
+    /// Turns to send a cold worker a mean job: as many a second as fit in its budget, one dispatcher after
+    /// the other. One not used while the budget's window lasts is lost. Guards against the herd on a worker
+    /// that starts; could do harm where few dispatchers carry most of the traffic.
     fn cold_turns(&self, i: usize) -> f64 {
         let w = &self.workers[i];
         let capacity = self.peers(i).slots / self.slowness(i) * self.warmth(i) / self.mean_work;
@@ -618,7 +622,7 @@
                 candidates.push((i, total));
             }
         }
-        let point = self.rng.f64() * total;
+        let point = self.chance() * total;
         let chosen = candidates.iter().find(|c| point < c.1).or(candidates.last()).map(|c| c.0);
         self.requests.insert(id, request);
         chosen
@@ -634,8 +638,7 @@
         }
         let over_share = tenant.is_some_and(|t| self.over_share(t.0 as usize));
         let (settings, stat) = (&self.settings.classes[c], &mut self.classes[c]);
-        // A client's later try carries the first one's deadline: what is missing is its age. Where over
-        // two thirds are missing, it is rather a client with little time.
+        // A later try carries the first one's deadline: what is missing is its age, but not over two thirds.
         let window = (deadline - self.now).secs();
         stat.longest = stat.longest.max(window);
         let retry = if self.settings.marks_retries { arrival.retry } else { window > stat.longest / 3.0 };
@@ -649,9 +652,8 @@
             (self.now + Span::from_secs((slack - age).max(0.0))).min(deadline)
         };
         let latest = start_by(SLACK_USED);
-        // Where misses are weighed, a refusal within the aim is none. Elsewhere twice the slack is allowed,
-        // and unsafe work, which could only fail, waits on. Guards against full workers that run what is late
-        // already; could do harm where withdrawn work runs on and clients come again.
+        // Where misses are weighed, a refusal within the aim is none. Unsafe work, which could only fail,
+        // waits on. Guards against full workers that run what is late; could do harm where clients retry.
         let withdraw = match settings.effect {
             _ if self.settings.tail.weight > 0.0 => latest,
             Effect::Unsafe => deadline,
@@ -667,6 +669,7 @@
         let mut request = Request { class: c, slots, work, deadline, latest, withdraw, ..Request::default() };
         (request.over_share, request.rank, request.yields) = (over_share, rank, yields);
         (request.hint, request.came, request.prior) = (hint, self.at - age, arrival.prior);
+        request.most_attempts = self.settings.max_attempts as usize;
         request.aim = settings.objective.secs() + settings.stretch * if hint > 0.0 { hint } else { work };
         self.requests.insert(id, request);
         self.taken.push_back(self.now);
@@ -721,7 +724,7 @@
         let request = &self.requests[&id];
         let (number, class) = (request.attempts.len(), request.class);
         let blocked = !self.settings.parallel && request.outstanding();
-        let left = number < self.settings.max_attempts as usize;
+        let left = number < request.most_attempts;
         if request.settled || blocked || !left || !self.allowed(request, i) {
             return;
         }
@@ -828,10 +831,9 @@
             w.load.rate_start += self.at / work;
             let way = &mut self.peers[w.group].ways[usize::from(idle == 0.0)];
             *way += if delay < *way { 0.3 } else { 0.03 } * (delay.min(*way * 3.0) - *way);
-            // Room is what may be believed to be at a worker while starts come at once. Started at once:
-            // there was room for all that is believed to be there. Started late: it took the slot that
-            // had just come free, and none was free where one was believed to be. Guards against slots
-            // that lie idle because they come free unseen; could do harm where peers differ in slots.
+            // Room is what may be believed to be at a worker while starts come at once; a late start took
+            // the slot that had just come free. Guards against slots that lie idle because they come free
+            // unseen; could do harm where peers differ in slots.
             let (room, prompt) = (self.peers(i).slots, delay <= due);
             let objective = self.settings.classes[class].objective.secs();
             self.start_seen(i, delay <= due + objective * PATIENCE);
@@ -855,9 +857,8 @@
         Span::from_secs(work * self.pace(i, 0.0) * patience + self.settings.tick.secs())
     }
 
-    /// Looks after a running attempt whose end is overdue: a second copy may still be in time. Guards
-    /// against answers that are lost on their way, and slots that are believed to be taken by those;
-    /// could do harm where jobs just run longer than hinted, so it waits longer until some were lost.
+    /// Looks after a running attempt whose end is overdue: a second copy may be in time. Guards against lost
+    /// answers; could do harm where jobs run longer than hinted, so it waits longer until some were lost.
     fn look_after_running(&mut self, id: RequestId, number: usize) {
         let request = &self.requests[&id];
         let (work, newest) = (request.work, number + 1 == request.attempts.len());
@@ -879,7 +880,7 @@
         }
         if newest
             && self.settings.parallel
-            && number + 1 < self.settings.max_attempts as usize
+            && number + 1 < self.requests[&id].most_attempts
             && self.turn() == Some(self.now)
             && let Some(other) = self.draw(id, Some(i))
         {
@@ -1009,7 +1010,7 @@
     /// All attempts have ended without an answer: another one if it is allowed and of use.
     fn again(&mut self, id: RequestId) {
         let request = &self.requests[&id];
-        let left = request.attempts.len() < self.settings.max_attempts as usize;
+        let left = request.attempts.len() < request.most_attempts;
         let bound = self.settings.classes[request.class].effect == Effect::Unsafe;
         if left && self.now < request.latest && !(bound && self.may_have_run(request).is_some()) {
             self.held.insert((request.over_share, request.rank, id));
@@ -1062,7 +1063,7 @@
             && self.now >= heard + patience
             && self.turn() == Some(self.now)
             && let Some(other) = self.draw(id, Some(i))
-            && number + 1 < self.settings.max_attempts as usize
+            && number + 1 < self.requests[&id].most_attempts
         {
             // Waiting work is moved; running work gets a second copy, since it may yet answer.
             if self.settings.cancel && (!started || !self.settings.parallel) {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -459,6 +459,9 @@
     },
     /// A probe has come back: whether it succeeded, and the report.
     Probed(WorkerId, bool, Option<Report>),
+    /// New settings hold from now on. Classes and tenants keep their numbers, and classes left off the end
+    /// stay as they were. What is under way makes no more attempts than both settings allow.
+    Retuned(Box<Settings>),
     /// A timer set by [`Action::Timer`] is due.
     Timer(u64),
 }
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -740,3 +740,36 @@
     assert_eq!(unsent, 0);
     assert_eq!(world.broken, Vec::<String>::new());
 }
+
+/// New settings allow fewer attempts: what is under way makes no more than that, and a class that they add
+/// is served. More allowed again later is for later requests.
+#[test]
+fn new_settings_bind_requests_under_way_and_bring_classes() {
+    let mut world = two_workers(5);
+    let retuned = |world: &mut World, max_attempts, classes: usize| {
+        let mut settings = Settings { max_attempts, ..world.settings.clone() };
+        settings.classes.resize(classes, settings.classes[0].clone());
+        world.settings = settings.clone();
+        world.event(Event::Retuned(Box::new(settings)));
+    };
+    let attempts = |world: &World, n| world.requests[&RequestId(n)].attempts.len();
+    world.arrive(0, 0);
+    world.end(0, 0, Outcome::Error);
+    assert_eq!(attempts(&world, 0), 2, "four attempts are allowed");
+    retuned(&mut world, 2, 5);
+    retuned(&mut world, 4, 5);
+    world.arrive(1, 4);
+    world.end(0, 1, Outcome::Error);
+    assert_eq!(attempts(&world, 0), 2, "two were, while it was under way");
+    for attempt in 0..2 {
+        world.end(1, attempt, Outcome::Error);
+    }
+    assert_eq!(attempts(&world, 1), 3, "the added class has its worker, and four attempts");
+    // Settings that leave classes off the end leave those as they were.
+    let fewer = Settings { classes: world.settings.classes[..1].to_vec(), ..world.settings.clone() };
+    world.event(Event::Retuned(Box::new(fewer)));
+    world.arrive(2, 4);
+    assert_eq!(attempts(&world, 2), 1);
+    world.pass(ms(8000));
+    assert_eq!(world.broken, [""; 0]);
+}
