Hand call-backs that reach the wrong process of an upgrade on to the other's door

Runners tell of a job on a new connection, which the successor accepts: it does not know the job and answers 200 (platform.rs `call_back`). Ruled out: the door (0 jobs ended there), close_idle (call-back connections are left alone), runners (their answers came).

Design: each process enters its door in a register under $TMPDIR and hands what it does not know on as TOLD.

--- a/node/src/core.rs
+++ b/node/src/core.rs
@@ -349,6 +349,11 @@
         &self.tables
     }
 
+    /// Whether a request of this id is here, answered or not.
+    pub fn knows(&self, id: &str) -> bool {
+        self.ids.contains_key(id)
+    }
+
     /// Requests that have no final answer yet.
     pub fn open(&self) -> usize {
         self.tickets.len()
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -16,6 +16,7 @@
 use crate::cli::{Cli, Command};
 use crate::core::{Core, Input};
 use crate::limits::Limits;
+use crate::net::callbacks::{self, CallBack};
 use crate::net::faktory::Faktory;
 use crate::net::{discovery, platform, runners};
 use crate::operator::Operator;
@@ -222,7 +223,7 @@
     actix_rt::spawn(front.clone().serve(listener));
     let listen = bound.unwrap_or(config.listen);
     if let Some(door) = door {
-        let at = door.local_addr().map_or_else(|e| e.to_string(), |at| at.to_string());
+        let at = door.local_addr().map_err(|e| format!("admin_addr: {e}"))?;
         let (asks, mut asked) = tokio::sync::mpsc::unbounded_channel::<net::door::Asked>();
         let limits = net::door::DoorLimits::default();
         net::door::start(door, runtime.figures.clone(), asks, limits)
@@ -232,7 +233,14 @@
         follow_bans(&runtime, &place);
         let file = place.clone();
         actix_rt::spawn(async move {
-            while let Some(net::door::Asked { runner, out, reply }) = asked.recv().await {
+            while let Some(net::door::Asked { ask, reply }) = asked.recv().await {
+                let (runner, out) = match ask {
+                    net::door::Ask::Hand { runner, out } => (runner, out),
+                    net::door::Ask::Told(call_back) => {
+                        let _ = reply.send(told(&held, &call_back));
+                        continue;
+                    }
+                };
                 let result = held.hand(runner.clone(), out, false);
                 let word = if out { "taken out" } else { "put back" };
                 match result {
@@ -256,6 +264,11 @@
                 follow_bans(&held, &place);
             }
         });
+        // Once the door is served, so that whoever reads the register is answered.
+        match net::peers::Peers::register(std::env::temp_dir(), at, runtime.limits.hand_on) {
+            Ok(peers) => front.hand_on_to(peers),
+            Err(e) => log::warn!("call-backs of an upgrade are not handed on: $TMPDIR: {e}"),
+        }
         log::info!("operators' door on {at}");
     }
     runtime.figures.ready.store(true, std::sync::atomic::Ordering::Relaxed);
@@ -313,6 +326,7 @@
     runtime.stop();
     front.close_idle();
     runtime.answered(stop - spell + runtime.limits.flush).await;
+    front.leave_register();
     // Whatever was answered last is still on its way out.
     front.drained(runtime.limits.flush).await;
     if let Some(writing) = writing {
@@ -326,6 +340,17 @@
     Ok(())
 }
 
+/// Takes a runner's call-back that the other process of an upgrade handed on.
+fn told(runtime: &Runtime, call_back: &str) -> Result<(), String> {
+    let told: CallBack = serde_json::from_str(call_back).map_err(|e| format!("TOLD: {e}"))?;
+    if !runtime.knows(&told.id) {
+        return Err("no job of that id is under way here".to_owned());
+    }
+    log::debug!("request {}: a call-back was handed on", told.id);
+    callbacks::take(runtime, told);
+    Ok(())
+}
+
 /// Takes on the bans that the file holds: a predecessor's, or the other process's during an upgrade.
 fn follow_bans(runtime: &Runtime, file: &std::path::Path) {
     let kept = match bans::read(file) {
--- a/node/src/net/door.rs
+++ b/node/src/net/door.rs
@@ -26,6 +26,8 @@
     Disable(String),
     /// The runner takes work again.
     Enable(String),
+    /// A runner's call-back that reached the other process of an upgrade, as JSON.
+    Told(String),
 }
 
 /// Sizes and times of the door.
@@ -33,6 +35,8 @@
 pub struct DoorLimits {
     /// Longest call, its newline included, in bytes.
     pub line: usize,
+    /// Longest call that hands a call-back on: a body of the protocol and as much again for its escapes.
+    pub told: usize,
     /// Time for a whole call from the connection's start; then a half call is answered with `ERR`.
     pub call: Duration,
     /// Time for the serving thread to carry out a call.
@@ -49,18 +53,27 @@
         // 0.8 s on the serving thread.
         DoorLimits {
             line: 256,
+            told: 128 * 1024,
             call: Duration::from_millis(900),
             serving: Duration::from_millis(800),
             write: Duration::from_secs(1),
-            connections: 16,
+            connections: 32,
         }
     }
 }
 
-/// A change that the serving thread is asked to make: a runner taken out (`out`) or put back.
+/// What the serving thread is asked to do.
+#[derive(Debug)]
+pub enum Ask {
+    /// Take a runner out (`out`) or put it back.
+    Hand { runner: String, out: bool },
+    /// Take a runner's call-back on a job of this process.
+    Told(String),
+}
+
+/// A call for the serving thread, and where its result goes.
 pub struct Asked {
-    pub runner: String,
-    pub out: bool,
+    pub ask: Ask,
     pub reply: oneshot::Sender<Result<(), String>>,
 }
 
@@ -71,6 +84,9 @@
 /// The words of an `ERR` answer that say what is wrong with it.
 pub fn parse(line: &[u8]) -> Result<Call, String> {
     let line = std::str::from_utf8(line).map_err(|_| "the call is not UTF-8".to_owned())?;
+    if let Some(call_back) = line.strip_prefix("TOLD ") {
+        return Ok(Call::Told(call_back.trim_end().to_owned()));
+    }
     let mut words = line.split_ascii_whitespace();
     let verb = words.next().ok_or("empty call: say READY, STATS, DISABLE ID or ENABLE ID")?;
     let id = words.next();
@@ -140,7 +156,7 @@
     let mut line = Vec::with_capacity(64);
     let deadline = tokio::time::Instant::now() + limits.call;
     loop {
-        let mut chunk = [0u8; 256];
+        let mut chunk = [0u8; 4096];
         let read = tokio::time::timeout_at(deadline, async {
             stream.readable().await?;
             match stream.try_read(&mut chunk) {
@@ -166,8 +182,9 @@
         let chunk = &chunk[..got];
         let end = chunk.iter().position(|b| *b == b'\n');
         line.extend_from_slice(&chunk[..end.map_or(chunk.len(), |at| at + 1)]);
-        if line.len() > limits.line {
-            return Err(format!("the call is longer than {} bytes", limits.line));
+        let most = if line.starts_with(b"TOLD ") { limits.told } else { limits.line };
+        if line.len() > most {
+            return Err(format!("the call is longer than {most} bytes"));
         }
         if end.is_some() || ended {
             return parse(&line);
@@ -181,15 +198,16 @@
     asks: &mpsc::UnboundedSender<Asked>,
     limits: DoorLimits,
 ) -> String {
-    let (runner, out) = match call {
+    let ask = match call {
         Call::Ready if figures.ready.load(Relaxed) => return "OK ready\n".to_owned(),
         Call::Ready => return "ERR not ready: starting or ending\n".to_owned(),
         Call::Stats => return format!("OK\n{}END\n", figures.page()),
-        Call::Disable(runner) => (runner, true),
-        Call::Enable(runner) => (runner, false),
+        Call::Disable(runner) => Ask::Hand { runner, out: true },
+        Call::Enable(runner) => Ask::Hand { runner, out: false },
+        Call::Told(call_back) => Ask::Told(call_back),
     };
     let (reply, told) = oneshot::channel();
-    if asks.send(Asked { runner, out, reply }).is_err() {
+    if asks.send(Asked { ask, reply }).is_err() {
         return "ERR the dispatcher is ending\n".to_owned();
     }
     match tokio::time::timeout(limits.serving, told).await {
--- /dev/null
+++ b/node/src/net/peers.rs
@@ -0,0 +1,158 @@
+//! The other process of an upgrade. While one process replaces another on a shared socket, a runner's
+//! call-back may reach either: whichever does not know the job hands the call-back on to the other's door.
+//! It owns the register of doors, one empty file a process under `$TMPDIR` (which both share) with the
+//! door's address in its name, and the call at a door. It must never decide what a call-back means, nor
+//! hand on what was handed on to it.
+
+use std::io;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::sync::Semaphore;
+
+/// What the names of the register's files begin with.
+const PREFIX: &str = "sablerun-door-";
+
+/// What became of a call-back that was handed on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Handed {
+    /// A process that has the job took it.
+    Taken,
+    /// There is no other process, or none that has the job.
+    Nowhere,
+    /// Another process is there but did not answer in time: it may have the job.
+    Unreached,
+}
+
+/// The register, with this process's own entry.
+pub struct Peers {
+    folder: PathBuf,
+    own: SocketAddr,
+    /// Call-backs being handed on at once: a door serves only so many callers.
+    seats: Semaphore,
+    /// Time for a call at a door, and for all tries.
+    call: Duration,
+    most: Duration,
+}
+
+impl Peers {
+    /// Enters this process's door.
+    ///
+    /// # Errors
+    ///
+    /// The folder can't be written.
+    pub fn register(folder: PathBuf, own: SocketAddr, call: Duration) -> io::Result<Peers> {
+        std::fs::write(folder.join(format!("{PREFIX}{own}")), "")?;
+        Ok(Peers { folder, own, seats: Semaphore::new(8), call, most: call * 3 })
+    }
+
+    /// The other doors, as the register names them.
+    fn others(&self) -> Vec<SocketAddr> {
+        let Ok(files) = std::fs::read_dir(&self.folder) else { return Vec::new() };
+        let names = files.filter_map(|file| file.ok()?.file_name().into_string().ok());
+        let doors = names.filter_map(|name| name.strip_prefix(PREFIX)?.parse().ok());
+        doors.filter(|door| *door != self.own).collect()
+    }
+
+    /// Hands a call-back on to whichever other process has its job.
+    pub async fn hand_on(&self, call_back: &str) -> Handed {
+        let others = self.others();
+        if others.is_empty() {
+            return Handed::Nowhere;
+        }
+        let Ok(_seat) = self.seats.acquire().await else { return Handed::Unreached };
+        let tries = async {
+            let mut waiting = others;
+            loop {
+                let mut left = Vec::new();
+                for door in waiting {
+                    match tokio::time::timeout(self.call, told(door, call_back)).await {
+                        Ok(Ok(answer)) if answer.starts_with("OK") => return Handed::Taken,
+                        Ok(Ok(answer)) if !answer.starts_with("ERR busy") && !answer.is_empty() => {}
+                        // Nobody listens there: a process that was killed could not take itself off.
+                        Ok(Err(e)) if e.kind() == io::ErrorKind::ConnectionRefused => self.strike(door),
+                        _ => left.push(door),
+                    }
+                }
+                if left.is_empty() {
+                    return Handed::Nowhere;
+                }
+                waiting = left;
+                tokio::time::sleep(self.call / 10).await;
+            }
+        };
+        tokio::time::timeout(self.most, tries).await.unwrap_or(Handed::Unreached)
+    }
+
+    /// Takes this process's door off the register.
+    pub fn leave(&self) {
+        self.strike(self.own);
+    }
+
+    fn strike(&self, door: SocketAddr) {
+        let _ = std::fs::remove_file(self.folder.join(format!("{PREFIX}{door}")));
+    }
+}
+
+impl Drop for Peers {
+    fn drop(&mut self) {
+        self.leave();
+    }
+}
+
+/// One call at a door: its whole answer.
+async fn told(door: SocketAddr, call_back: &str) -> io::Result<String> {
+    let mut stream = TcpStream::connect(door).await?;
+    stream.write_all(format!("TOLD {call_back}\n").as_bytes()).await?;
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).await?;
+    Ok(answer)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_call_back_goes_to_the_door_that_has_the_job_and_dead_doors_are_struck_off() {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+        let folder = tempfile::tempdir().unwrap();
+        let second = Duration::from_secs(10);
+        let at = |n: u16| SocketAddr::from(([127, 0, 0, 1], n));
+        let here = Peers::register(folder.path().to_owned(), at(1), second).unwrap();
+        let listed = || std::fs::read_dir(folder.path()).unwrap().count();
+        runtime.block_on(async {
+            assert_eq!(here.hand_on("{}").await, Handed::Nowhere, "there is only this process");
+            // Port 2 is nobody's; the other door answers busy once and takes the call then.
+            let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+            let there = listener.local_addr().unwrap();
+            let dead = Peers::register(folder.path().to_owned(), at(2), second).unwrap();
+            let live = Peers::register(folder.path().to_owned(), there, second).unwrap();
+            assert_eq!(listed(), 3);
+            let serve = tokio::spawn(async move {
+                let mut calls = Vec::new();
+                for answer in ["ERR busy: too many calls at once, call again\n", "OK\n", "ERR no job\n"] {
+                    let (mut stream, _) = listener.accept().await.unwrap();
+                    let mut call = vec![0; 100];
+                    let read = stream.read(&mut call).await.unwrap();
+                    calls.push(String::from_utf8_lossy(&call[..read]).into_owned());
+                    stream.write_all(answer.as_bytes()).await.unwrap();
+                }
+                calls
+            });
+            assert_eq!(here.hand_on(r#"{"id":"a"}"#).await, Handed::Taken);
+            assert_eq!(listed(), 2, "the dead one is struck off");
+            assert_eq!(here.hand_on(r#"{"id":"b"}"#).await, Handed::Nowhere);
+            assert_eq!(
+                serve.await.unwrap(),
+                ["TOLD {\"id\":\"a\"}\n", "TOLD {\"id\":\"a\"}\n", "TOLD {\"id\":\"b\"}\n"]
+            );
+            drop((dead, live));
+            assert_eq!(listed(), 1);
+        });
+        drop(here);
+        assert_eq!(listed(), 0);
+    }
+}
--- a/node/src/net/platform.rs
+++ b/node/src/net/platform.rs
@@ -3,10 +3,11 @@
 //! checks what clients write, how much and how fast, and words the answers. It must never give an
 //! answer of its own to a request it has handed to the core, nor keep one back.
 
-use crate::core::{Answer, Arrival, Ending, Input};
+use crate::core::{Answer, Arrival, Input};
 use crate::figures::Counted;
 use crate::limits::Limits;
-use crate::net::runners::{load_object, result_bytes};
+use crate::net::callbacks::{self, CallBack};
+use crate::net::peers::{Handed, Peers};
 use crate::runtime::{Here, Job, Runtime};
 use actix_codec::{AsyncRead, AsyncWrite, ReadBuf};
 use actix_http::header::{self, HeaderMap, HeaderName};
@@ -86,6 +87,8 @@
     closed: Notify,
     /// Told when no more connections are to be accepted.
     no_more: Notify,
+    /// Where call-backs about another process's jobs go, while a process replaces another.
+    peers: RefCell<Option<Rc<Peers>>>,
 }
 
 impl Front {
@@ -96,6 +99,7 @@
             next: Cell::new(0),
             closed: Notify::new(),
             no_more: Notify::new(),
+            peers: RefCell::default(),
         })
     }
 
@@ -165,6 +169,18 @@
         self.no_more.notify_one();
     }
 
+    /// Hands call-backs about jobs that are not known here on to the other processes of this register.
+    pub fn hand_on_to(&self, peers: Peers) {
+        *self.peers.borrow_mut() = Some(Rc::new(peers));
+    }
+
+    /// Nothing is under way here any more: others hand nothing on to this process, which still does.
+    pub fn leave_register(&self) {
+        if let Some(peers) = &*self.peers.borrow() {
+            peers.leave();
+        }
+    }
+
     /// Closes the connection that can best be spared, if there is one.
     fn close_one(&self) {
         let connections = self.connections.borrow();
@@ -390,28 +406,20 @@
             }
         };
         log::trace!("call-back {}", String::from_utf8_lossy(&body));
-        let CallBack { id, from, state, .. } = told;
-        let outcome = match state.as_str() {
-            "started" => {
-                self.runtime.feed(Input::Started { id, from });
-                return Reply::new(StatusCode::OK, "");
-            }
-            "running" => {
-                self.runtime.feed(Input::Progress { id, from, share: told.share.unwrap_or(0.0) });
-                return Reply::new(StatusCode::OK, "");
-            }
-            "done" => sr::Outcome::Ok,
-            "failed" => sr::Outcome::Error,
-            "returned" => sr::Outcome::Full,
-            "lost" => sr::Outcome::Reset,
-            other => {
-                log::warn!("call-back with state {other:?} from {from}: passed over");
-                return Reply::new(StatusCode::OK, "");
-            }
-        };
-        let report = told.load.and_then(|load| self.runtime.with_tables(|tables| load_object(tables, &load)));
-        let ending = Ending { outcome, result: result_bytes(told.result), report };
-        self.runtime.feed(Input::Told { id, from, ending });
+        let known = self.runtime.knows(&told.id);
+        let peers = self.peers.borrow().clone().filter(|_| !known);
+        if let Some(peers) = peers {
+            // Written anew on one line, as the door takes it.
+            let line = serde_json::from_slice::<serde_json::Value>(&body).map(|body| body.to_string());
+            return match peers.hand_on(&line.unwrap_or_default()).await {
+                Handed::Taken | Handed::Nowhere => Reply::new(StatusCode::OK, ""),
+                Handed::Unreached => {
+                    log::warn!(id = told.id.as_str(); "call-back not handed on: the other process is silent");
+                    Reply::new(StatusCode::SERVICE_UNAVAILABLE, "not handed on: tell it again")
+                }
+            };
+        }
+        callbacks::take(&self.runtime, told);
         Reply::new(StatusCode::OK, "")
     }
 }
@@ -578,20 +586,6 @@
     retry: bool,
 }
 
-/// A call-back's body.
-#[derive(serde::Deserialize)]
-struct CallBack {
-    id: String,
-    from: String,
-    state: String,
-    #[serde(default)]
-    share: Option<f64>,
-    #[serde(default)]
-    result: serde_json::Value,
-    #[serde(default)]
-    load: Option<serde_json::Value>,
-}
-
 /// An answer before it is written.
 struct Reply {
     status: StatusCode,
--- a/node/src/runtime.rs
+++ b/node/src/runtime.rs
@@ -183,6 +183,11 @@
         if core.with_tenants() && tenant.is_none() { Err(()) } else { Ok(tenant) }
     }
 
+    /// Whether a request of this id is here.
+    pub fn knows(&self, id: &str) -> bool {
+        self.core.borrow().knows(id)
+    }
+
     /// Reads from the keys that the core keeps, if it keeps any.
     pub fn with_keys<T>(&self, read: impl FnOnce(&Core<Rc<Job>>, &keys::Store) -> T) -> Option<T> {
         let core = self.core.borrow();
@@ -259,8 +264,17 @@
         loop {
             let next = self.inputs.borrow_mut().pop_front();
             let Some(input) = next else { break };
-            if let Input::Arrived(arrival) = &input {
-                log::debug!("request {} of class {}", arrival.id, arrival.job.class);
+            match &input {
+                Input::Arrived(arrival) => {
+                    log::debug!("request {} of class {}", arrival.id, arrival.job.class);
+                }
+                Input::Ended(AttemptId { request, number }, ending) => {
+                    log::debug!("attempt {request}.{number} ended: {:?}", ending.outcome);
+                }
+                Input::Told { id, from, ending } => {
+                    log::debug!("runner {from} ended {id}: {:?}", ending.outcome);
+                }
+                _ => {}
             }
             let effects = self.core.borrow_mut().step(self.clock.now(), input);
             for effect in effects {
@@ -282,6 +296,9 @@
     fn carry_out(&self, effect: Effect<Rc<Job>>) {
         match effect {
             Effect::Answer(ticket, answer) => {
+                if let Answer::Refused(_) | Answer::Failed(_) = answer {
+                    log::debug!("ticket {}: {answer:?}", ticket.0);
+                }
                 let waiting = self.waiting.borrow_mut().remove(&ticket);
                 if let Some((waiting, figures)) = waiting {
                     figures.count(match answer {
@@ -294,7 +311,11 @@
                 }
             }
             Effect::Start { attempt, id, runner, job, deadline } => match self.link_to(&runner) {
-                Some(link) => link.start(attempt, id, &runner, job, deadline),
+                Some(link) => {
+                    let AttemptId { request, number } = attempt;
+                    log::debug!("attempt {request}.{number} of {id}, {}, at {runner}", job.class);
+                    link.start(attempt, id, &runner, job, deadline);
+                }
                 None => {
                     log::warn!("no way to runner {runner}: attempt not made");
                     let ending = crate::core::Ending::bare(sr::Outcome::ConnectFailed);
--- a/node/tests/operations.rs
+++ b/node/tests/operations.rs
@@ -202,6 +202,37 @@
     assert_eq!(std::fs::read_to_string(folder.join("sablerun-bans")).unwrap(), "");
 }
 
+/// While one process replaces another, a runner's word on a job of the old one reaches the new one, which
+/// accepts alone by then: it is handed on, and the job is served. A word on a job of nobody is answered too.
+#[test]
+fn a_call_back_that_reaches_the_successor_serves_the_job_of_the_process_before() {
+    let (runner, _discovery, mut config) = one_runner(true);
+    let socket = shared_socket(&mut config);
+    let at = socket.local_addr().unwrap();
+    let mut old = on_shared(&config, &socket, None);
+    runner.call_back_to(&old);
+    door_of(&old);
+    let id = new_id();
+    let request = api("short-pick", &id, "5000m", "");
+    let under_way = std::thread::spawn(move || call(at, &request, "hang"));
+    runner.seen.wait("POST hang", 1);
+    let new = on_shared(&config, &socket, Some(&old));
+    door_of(&new);
+    old.signal("TERM");
+    old.log.wait("lets clients go", 1);
+    assert_eq!(call_back(at, "0badcafe", "done"), 200, "nobody's job");
+    assert_eq!(call_back(at, &id, "started"), 200);
+    assert_eq!(call_back(at, &id, "done"), 200);
+    let answer = under_way.join().unwrap();
+    assert_eq!((answer.status(), answer.body.as_str()), (200, "by s-0"));
+    assert!(old.child.wait().unwrap().success());
+    assert_eq!(call_back(at, &id, "done"), 200, "told again when nobody is left to ask");
+    let folder = std::path::Path::new(&old.config).parent().unwrap();
+    let doors =
+        std::fs::read_dir(folder).unwrap().filter_map(|file| file.ok()?.file_name().into_string().ok());
+    assert_eq!(doors.filter(|name| name.starts_with("sablerun-door-")).count(), 1, "the new one's");
+}
+
 /// A file that is empty, cut short, lacks a key, or has a deadline or a number of attempts that is no
 /// number above 0 is turned down whole, and counted; a good one is taken.
 #[test]
