Leave workers that fail fast alone, and give one back from a drain a request soon

Checked and ruled out: the other runners (no errors), time-outs and connections (1 to 12 in a window), upgrades (they cost nothing since call-backs are handed on).

Cause: balance.rs `missed` judged a worker beside the share of errors among all answers. `draw` did not know who had failed a request, and chose the same idle worker again. It also keeps to home where home has room, whoever was put back elsewhere.

Change: a worker's failures (of a class, or with less weight of all) count beyond the best worker's share of errors; who failed a request is asked last; who is back from a drain counts as near until it is sent to.

--- a/node/src/core.rs
+++ b/node/src/core.rs
@@ -388,7 +388,11 @@
         let entries: Vec<_> =
             self.lists.iter().filter(|((_, w), _)| *w == worker).map(|(_, e)| e.clone()).collect();
         if !entries.is_empty() {
-            let entries = self.as_told(entries);
+            let mut entries = self.as_told(entries);
+            if !out && self.settings.drain_binds_alone {
+                // There a drain holds until a later start: to the module the runner starts now, and cold.
+                entries.iter_mut().for_each(|entry| entry.up_since = Some(now));
+            }
             self.tell(now, sr::Event::List(sr::ListKind::Delta, entries));
         }
         self.count_runners();
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -37,6 +37,8 @@
 const MISS_HALF_LIFE: f64 = 10.0;
 /// Share of failures beyond which a worker is not ready for a class, or an error is the request's own.
 const MISS_LIMIT: f64 = 0.5;
+/// Weight of what a worker fails of all classes together: one class's failures are not the others'.
+const ALL_SHARE: f64 = 0.7;
 /// Share of its aim by which a hinted job must be expected to end where it is sent: hints and paces err.
 const IN_TIME: f64 = 0.9;
 /// Times its usual running time after which an attempt is overdue: where answers are lost, and elsewhere.
@@ -44,8 +46,7 @@
 const LOSING: f64 = 0.3;
 /// What starts at home must be late more often, beyond the price of crossing: shares differ so by chance.
 const CROSS_MARGIN: f64 = 0.1;
-/// Where no budget of further attempts is stated, moves and second copies keep to this one. Guards a full
-/// fleet against load of our own making: withdrawn work may run on. Could do harm when many hang at once.
+/// Bound on moves and copies where none is stated: withdrawn work may run on. Could harm when many hang.
 const MOVES: Budget = Budget { floor: 5.0, ratio: 0.1, window: Span(10_000_000_000) };
 /// A while without events that may be a stall of this dispatcher, in seconds.
 const STALL: f64 = 0.3;
@@ -70,7 +71,7 @@
 #[derive(Default)]
 struct Worker {
     load: Load,
-    /// Share of each class's attempts that failed or were not started here, and when that was counted.
+    /// Share of answers that were errors, then of each class's attempts that failed or did not start; when.
     missed: Vec<(f64, f64)>,
     /// Slots that others took when last seen, when that was, and the group of its peers.
     others: f64,
@@ -96,6 +97,8 @@
     /// A list has named it; one has called it draining since its process last started.
     listed: bool,
     drained: bool,
+    /// It has come back from a drain and was not sent to since.
+    returned: bool,
 }
 
 /// What a draw needs to know of a worker, worked out once for each event and worker.
@@ -212,7 +215,7 @@
     late_starts: [f64; 2],
     /// Share of attempts of late that were turned away as full.
     turned_away: f64,
-    /// Share of errors among the answers of late.
+    /// The least share of errors of a worker in use.
     erring: f64,
     /// Share of attempts of late whose answers were lost, by belief.
     losing: f64,
@@ -258,9 +261,8 @@
         for class in settings.classes.iter().skip(self.classes.len()) {
             self.classes.push(ClassStat { mean: class.objective.secs().max(1e-3), seen: 1.0, longest: 0.0 });
         }
-        for request in self.requests.values_mut() {
-            request.most_attempts = request.most_attempts.min(settings.max_attempts as usize);
-        }
+        let most = settings.max_attempts as usize;
+        self.requests.values_mut().for_each(|r| r.most_attempts = r.most_attempts.min(most));
         self.settings = settings;
     }
 
@@ -301,11 +303,9 @@
             }
             Event::Probed(worker, ok, report) => {
                 let i = worker.0 as usize;
-                if ok && let Some(trial) = self.workers.get_mut(i).and_then(|w| w.trial.as_mut()) {
-                    *trial = trial.min(self.at);
-                }
-                if let Some(report) = report.filter(|_| i < self.workers.len()) {
-                    self.reported(i, report);
+                if let Some(w) = self.workers.get_mut(i) {
+                    w.trial = w.trial.map(|trial| if ok { trial.min(self.at) } else { trial });
+                    report.into_iter().for_each(|report| self.reported(i, report));
                 }
             }
             Event::Retuned(settings) => self.retune(*settings),
@@ -347,16 +347,13 @@
                 let (slots, seen_at, ways) = (SLOTS_PRIOR, self.at, [0.03; 2]);
                 self.peers.push(Peers { key, ways, slots, shown: 0.0, took: 0.0, others: 0.0, seen_at });
             }
-            // Where gone does not bind, a list may be old or wrong: only a later start is a new process,
-            // and a drain once seen holds until then.
+            // Where gone does not bind, a list may be old: a drain once seen holds until a later start.
             let (old, listed) = (&self.entries[i], self.workers[i].listed);
-            let later = if alone {
-                entry.up_since > old.up_since
-            } else {
-                entry.up_since != old.up_since || old.standing == Standing::Gone
-            };
+            let other = entry.up_since != old.up_since || old.standing == Standing::Gone;
+            let later = if alone { entry.up_since > old.up_since } else { other };
             entry.up_since = entry.up_since.max(old.up_since.filter(|_| alone && listed));
             let held = alone && !later && self.workers[i].drained;
+            let back = self.workers[i].drained && !held && entry.standing == Standing::Ready;
             if later || !listed {
                 // A new process: nothing that the old one showed holds. What is out there still counts.
                 let age = entry.up_since.map_or(0.0, |up| (self.now - up).secs());
@@ -366,8 +363,9 @@
                 *w = Worker { load, transfer, group, heard: now, others_at: now, ..Worker::default() };
                 (w.turns, w.turns_at) = ((place + 0.618 * i as f64).fract(), now - age);
             }
-            self.workers[i].listed = true;
-            self.workers[i].drained = held || entry.standing == Standing::Draining;
+            let w = &mut self.workers[i];
+            (w.listed, w.drained) = (true, held || entry.standing == Standing::Draining);
+            w.returned |= back;
             self.entries[i] = entry;
         }
         self.list_backoff = 0.2;
@@ -425,8 +423,7 @@
         &self.peers[self.workers[i].group]
     }
 
-    /// Slots taken and queued at a worker: own ones as known, others' as last seen, fading to what
-    /// is usual there as the sight of them ages.
+    /// Slots taken and queued at a worker: own ones, and others' as last seen, fading to what is usual.
     fn queue(&self, i: usize) -> f64 {
         let w = &self.workers[i];
         let age = self.at - w.others_at;
@@ -474,8 +471,7 @@
         (self.workers[i].heard, self.workers[i].trial) = (self.at, None);
     }
 
-    /// Guards against every silence alike: hang, stall, crash, cut. Could do harm where workers pause
-    /// for longer than the silence allowed; the trials and any sign of life bound that.
+    /// Guards against every silence alike; could do harm where workers pause, which the trials bound.
     fn suspect(&mut self, i: usize) {
         self.workers[i].trial.get_or_insert(self.at + TRIAL);
     }
@@ -571,7 +567,7 @@
         let done = self.at - request.came + request.work * v.slowness / v.warmth;
         tried
             && (request.hint == 0.0 || done <= request.aim * IN_TIME)
-            && self.missed(i, request.class) < MISS_LIMIT
+            && self.fails(i, request.class) < MISS_LIMIT
             && v.queue + request.slots.ceil() <= self.peers(i).slots * left + 0.5
     }
 
@@ -596,7 +592,7 @@
         let price = self.settings.prices.cross_zone * f64::from(u8::from(self.away(i)))
             + self.settings.prices.handshake * f64::from(u8::from(new));
         let transfer = w.transfer + price * (class.objective.secs() + class.stretch * request.work);
-        let cost = ((v.queue + 1.0) * time + transfer) / (1.0 - self.missed(i, request.class)).max(0.05);
+        let cost = ((v.queue + 1.0) * time + transfer) / (1.0 - self.fails(i, request.class)).max(0.05);
         cost.max(FLOOR)
     }
 
@@ -608,7 +604,10 @@
         // the others out of the draw: home comes first, then an open connection.
         let mut least = (true, true);
         for i in 0..self.workers.len() {
-            let extra = self.extra(i);
+            // Whoever was put back gets one request soon, and whoever erred with this one is asked last.
+            let erred = request.attempts.iter().any(|a| a.worker == i && a.ended == Some(Outcome::Error));
+            let extra = if erred { (true, true) } else { self.extra(i) };
+            let extra = if self.workers[i].returned { (false, false) } else { extra };
             if extra > least || Some(i) == avoid || !self.allowed(&request, i) {
                 continue;
             }
@@ -747,7 +746,7 @@
             idle = 0.0;
         }
         (w.turns, w.turns_at) = (turns - request.work * request.slots / self.mean_work, self.at);
-        w.view.event = 0;
+        (w.view.event, w.returned) = (0, false);
         w.load.own += request.slots;
         w.load.waiting += 1;
         w.trial = w.trial.map(|_| self.at + TRIAL);
@@ -760,8 +759,7 @@
         }
     }
 
-    /// When a start note is due after a send, over an open or a fresh connection: beyond the way, a wait
-    /// that matters little to the class is none.
+    /// When a start note is due after a send: beyond the way there, a wait that matters little is none.
     fn start_due(&self, i: usize, idle: f64, class: usize) -> Span {
         let way = self.peers(i).ways[usize::from(idle == 0.0)];
         let little = PATIENCE * 0.5 * self.settings.classes[class].objective.secs();
@@ -831,9 +829,8 @@
             w.load.rate_start += self.at / work;
             let way = &mut self.peers[w.group].ways[usize::from(idle == 0.0)];
             *way += if delay < *way { 0.3 } else { 0.03 } * (delay.min(*way * 3.0) - *way);
-            // Room is what may be believed to be at a worker while starts come at once; a late start took
-            // the slot that had just come free. Guards against slots that lie idle because they come free
-            // unseen; could do harm where peers differ in slots.
+            // Room is what may be believed to be at a worker while starts come at once. Guards against slots
+            // that lie idle because they come free unseen; could do harm where peers differ in slots.
             let (room, prompt) = (self.peers(i).slots, delay <= due);
             let objective = self.settings.classes[class].objective.secs();
             self.start_seen(i, delay <= due + objective * PATIENCE);
@@ -918,21 +915,28 @@
         self.late_starts[1] *= 0.998;
     }
 
-    /// Books whether a worker failed an attempt of a class, by error or unstarted. Guards against one class
-    /// failing, whatever else is served; could do harm in a full fleet, where starts are late anyway.
-    fn miss(&mut self, i: usize, class: usize, missed: f64) {
-        let (all, at, w) = (self.classes.len(), self.at, &mut self.workers[i]);
-        w.missed.resize(all, (0.0, 0.0));
-        let (share, counted) = &mut w.missed[class];
-        let before = *share * left(at - *counted, MISS_HALF_LIFE);
-        (*share, *counted) = (before + 0.2 * (missed - before), at);
+    /// Books whether a worker failed an attempt, by error or unstarted: of all classes (0), of its own.
+    /// Guards against a class or a worker that fails, fast and so idle; could do harm in a full fleet.
+    fn miss(&mut self, i: usize, places: &[usize], missed: f64) {
+        for place in places {
+            let before = self.missed(i, *place);
+            self.workers[i].missed.resize(self.classes.len() + 1, (0.0, 0.0));
+            self.workers[i].missed[*place] = (before + 0.2 * (missed - before), self.at);
+        }
+        let used = (0..self.workers.len()).filter(|w| self.usable(*w));
+        self.erring = used.map(|w| self.missed(w, 0)).fold(1.0, f64::min);
     }
 
-    /// What a worker fails of a class beyond the share of errors that this dispatcher meets anywhere.
-    fn missed(&self, i: usize, class: usize) -> f64 {
-        let known = self.workers[i].missed.get(class);
-        let share = known.map_or(0.0, |(share, at)| share * left(self.at - at, MISS_HALF_LIFE));
-        (share - self.erring).max(0.0) / (1.0 - self.erring).max(0.05)
+    fn missed(&self, i: usize, place: usize) -> f64 {
+        let known = self.workers[i].missed.get(place);
+        known.map_or(0.0, |(share, at)| share * left(self.at - at, MISS_HALF_LIFE))
+    }
+
+    /// What a worker fails of a class beyond the errors of the best. Not beyond those met anywhere: whoever
+    /// fails fast meets most requests, and would be the measure itself.
+    fn fails(&self, i: usize, class: usize) -> f64 {
+        let missed = self.missed(i, class + 1).max(self.missed(i, 0) * ALL_SHARE);
+        (missed - self.erring).max(0.0) / (1.0 - self.erring).max(0.05)
     }
 
     fn ended(&mut self, id: RequestId, number: u32, outcome: Outcome, closed: bool, report: Option<Report>) {
@@ -967,7 +971,7 @@
                     None => w.latency.unwrap_or(total).min(total),
                 };
                 w.transfer += 0.1 * (total - ran - w.transfer);
-                self.miss(i, class, 0.0);
+                self.miss(i, &[0, class + 1], 0.0);
                 let stat = &mut self.classes[class];
                 stat.seen = (stat.seen + 1.0).min(200.0);
                 stat.mean = (stat.mean + (ran / slowness - stat.mean) / stat.seen).max(1e-4);
@@ -978,24 +982,21 @@
                 }
                 self.show_pace(i, ran / work);
             }
-            Outcome::Error => self.miss(i, class, 1.0),
+            Outcome::Error => self.miss(i, &[0, class + 1], 1.0),
             Outcome::Full => self.see_others(i, self.peers(i).slots * 1.5),
             // A connection that breaks at once after a rest tells of the rest, not of the worker.
             Outcome::Reset if idle > 0.0 && started.is_none() && self.now < sent + due => {
                 self.lasted(idle, false);
             }
             Outcome::ConnectFailed | Outcome::Reset => self.suspect(i),
-            Outcome::Timeout | Outcome::Cancelled if started.is_none() => self.miss(i, class, 1.0),
+            Outcome::Timeout | Outcome::Cancelled if started.is_none() => self.miss(i, &[class + 1], 1.0),
             Outcome::Timeout | Outcome::Cancelled | Outcome::Moot => {}
         }
         let request = &self.requests[&id];
         let erred = |a: &Attempt| a.ended == Some(Outcome::Error) && a.worker != i;
         let met = f64::from(u8::from(outcome == Outcome::Error));
-        if matches!(outcome, Outcome::Ok | Outcome::Error) {
-            self.erring += 0.1 * (met - self.erring);
-            if request.attempts.iter().any(erred) {
-                self.again = (doomed + 0.3 * (met - doomed), self.at);
-            }
+        if matches!(outcome, Outcome::Ok | Outcome::Error) && request.attempts.iter().any(erred) {
+            self.again = (doomed + 0.3 * (met - doomed), self.at);
         }
         // An error likely met again elsewhere is the request's own, and so is a break at its very start.
         let downed = outcome == Outcome::Reset && started.is_some_and(|start| self.now < start + due);
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -773,3 +773,75 @@
     world.pass(ms(8000));
     assert_eq!(world.broken, [""; 0]);
 }
+
+/// Two of four workers fail most of what they get, and at once: they look idle while the others are full, and
+/// soon most answers are theirs. They are left alone all the same: what is usual is the mean of the others,
+/// each counted once.
+#[test]
+fn workers_that_fail_fast_do_not_draw_the_traffic() {
+    let mut world = World::new(Settings { zone: None, ..settings() }, 31);
+    world.list(ListKind::Saved, (0..4).map(worker).collect());
+    let (mut bad, mut all) = (0, 0);
+    for step in 0..4000u32 {
+        if step % 10 == 0 {
+            world.arrive(step, [0, 2, 3][step as usize / 10 % 3]);
+        }
+        world.pass(ms(5));
+        for (id, attempt) in world.open() {
+            let (at, sent, _) = world.requests[&RequestId(id)].attempts[attempt as usize];
+            let fails = at.0 < 2 && !(id / 10 + attempt).is_multiple_of(6);
+            let age = world.now - sent;
+            if age < ms(10) {
+                world.start(id, attempt);
+                all += u32::from(step > 400);
+                bad += u32::from(step > 400 && at.0 < 2);
+            }
+            if fails || age > ms(400) {
+                world.end(id, attempt, if fails { Outcome::Error } else { Outcome::Ok });
+            }
+        }
+    }
+    let share = f64::from(bad) / f64::from(all);
+    assert!(share < 0.2, "{bad} of {all} attempts went to the workers that fail");
+    assert_eq!(world.broken, [""; 0]);
+}
+
+/// A worker that comes back from a drain gets a request, though it is away and home has room.
+#[test]
+fn a_worker_back_from_a_drain_gets_a_request_wherever_it_stands() {
+    let prices = Prices { cross_zone: 0.03, ..Prices::default() };
+    let mut world = World::new(Settings { prices, ..settings() }, 7);
+    world.list(ListKind::Saved, vec![worker(0), worker(1)]);
+    let play = |world: &mut World, ids: std::ops::Range<u32>| {
+        for n in ids {
+            world.arrive(n, 0);
+            serve(world, ms(20));
+        }
+    };
+    play(&mut world, 0..20);
+    assert_eq!(sent_to(&world, 1), 0, "home has room");
+    world.list(ListKind::Delta, vec![ListEntry { standing: Standing::Draining, ..worker(1) }]);
+    play(&mut world, 20..30);
+    world.list(ListKind::Delta, vec![worker(1)]);
+    play(&mut world, 30..50);
+    assert_eq!(sent_to(&world, 1), 1, "one, and then home is nearer again");
+}
+
+/// A request that a worker failed goes to another one first.
+#[test]
+fn whoever_failed_a_request_is_asked_last() {
+    let mut world = World::new(Settings { zone: None, ..settings() }, 3);
+    world.list(ListKind::Saved, (0..3).map(worker).collect());
+    for n in 0..30 {
+        world.arrive(n, 0);
+        for attempt in 0..2 {
+            world.end(n, attempt, Outcome::Error);
+        }
+        world.end(n, 2, Outcome::Ok);
+        let mut asked: Vec<_> = world.requests[&RequestId(n)].attempts.iter().map(|a| a.0).collect();
+        asked.sort();
+        asked.dedup();
+        assert_eq!(asked.len(), world.requests[&RequestId(n)].attempts.len(), "request {n}");
+        world.pass(ms(100));
+    }
+}
