--- a/node/tests/operations.rs
+++ b/node/tests/operations.rs
@@ -233,6 +233,31 @@
     assert_eq!(doors.filter(|name| name.starts_with("sablerun-door-")).count(), 1, "the new one's");
 }
 
+/// A process is replaced in the midst of a burst: every job gets its answer, from the old one or the new.
+#[test]
+fn no_job_of_a_burst_is_lost_while_the_process_is_replaced() {
+    let (runner, _discovery, mut config) = one_runner(true);
+    let socket = shared_socket(&mut config);
+    let at = socket.local_addr().unwrap();
+    let mut old = on_shared(&config, &socket, None);
+    runner.call_back_to(&old);
+    let client = move || {
+        let job = move |_| call(at, &api("short-pick", &new_id(), "5000m", ""), "job").status();
+        (0..15).map(job).collect::<Vec<_>>()
+    };
+    let clients: Vec<_> = (0..16).map(|_| std::thread::spawn(client)).collect();
+    runner.seen.wait("POST serve", 20);
+    let new = on_shared(&config, &socket, Some(&old));
+    old.signal("TERM");
+    let answers: Vec<_> = clients.into_iter().flat_map(|client| client.join().unwrap()).collect();
+    assert!(old.child.wait().unwrap().success());
+    assert_eq!(answers.len(), 240);
+    let odd: Vec<_> = answers.iter().filter(|status| ![200, 503].contains(status)).collect();
+    assert!(odd.is_empty(), "{odd:?}");
+    assert!(answers.contains(&200));
+    drop(new);
+}
+
 /// A file that is empty, cut short, lacks a key, or has a deadline or a number of attempts that is no
 /// number above 0 is turned down whole, and counted; a good one is taken.
 #[test]
