Count runners that the module avoids by choice in cluster_unhealthy

Balancer::avoids answers for a worker that is suspect or fails most of what it gets; the core keeps the standings and asks; the runtime counts anew with each list and call by hand, else at most every 100 ms, at least every 250 ms where there is a door.

--- a/node/src/core.rs
+++ b/node/src/core.rs
@@ -267,8 +267,8 @@
     lists: BTreeMap<(Source, u32), sr::ListEntry>,
     /// Runners taken out by hand: the module hears of them as draining, whatever the lists say.
     banned: BTreeSet<u32>,
-    /// Runners listed, and of those the ones avoided now by hand or because they drain.
-    census: (usize, usize),
+    /// Runners listed, and whether each is out by hand or because it drains.
+    standings: BTreeMap<u32, bool>,
     /// Events for the module that its own actions brought about.
     events: VecDeque<sr::Event>,
     actions: Vec<sr::Action>,
@@ -309,7 +309,7 @@
             stop: None,
             lists: BTreeMap::new(),
             banned: BTreeSet::new(),
-            census: (0, 0),
+            standings: BTreeMap::new(),
             events: VecDeque::new(),
             actions: Vec::new(),
             effects: Vec::new(),
@@ -364,9 +364,11 @@
         self.tally
     }
 
-    /// Runners on the list, and of those the ones that are avoided now, by hand or as the list drains them.
+    /// Runners on the list, and of those the ones avoided now: by hand, as the list drains them, or by the
+    /// module's choice.
     pub fn census(&self) -> (usize, usize) {
-        self.census
+        let avoided = |(worker, out): &(&u32, &bool)| **out || self.balancer.avoids(sr::WorkerId(**worker));
+        (self.standings.len(), self.standings.iter().filter(avoided).count())
     }
 
     /// The runners taken out by hand, by name.
@@ -415,7 +417,7 @@
             let avoided = self.banned.contains(worker) || entry.standing != sr::Standing::Ready;
             *listed.entry(*worker).or_insert(true) &= avoided;
         }
-        self.census = (listed.len(), listed.values().filter(|avoided| **avoided).count());
+        self.standings = listed;
     }
 
     /// When the next timer is due.
--- a/node/src/figures.rs
+++ b/node/src/figures.rs
@@ -52,7 +52,7 @@
     pub current: AtomicU64,
     /// Runners on the list.
     pub cluster_size: AtomicU64,
-    /// Listed runners that the dispatcher avoids now, by hand or because the list drains them.
+    /// Listed runners that the dispatcher avoids now: by hand, because the list drains them, or by choice.
     pub cluster_unhealthy: AtomicU64,
     /// Configurations taken at SIGHUP.
     pub conf_loaded: AtomicU64,
--- a/node/src/limits.rs
+++ b/node/src/limits.rs
@@ -71,6 +71,8 @@
     pub keys: Option<keys::Bounds>,
     /// Time for which a class that new settings no longer name is taken still.
     pub vanished: Duration,
+    /// Time after which the figures on runners are brought up to date.
+    pub count: Duration,
     /// Time for the other process of an upgrade to take a call-back.
     pub hand_on: Duration,
     /// Time between two looks at the file of bans that a process shares with its successor.
@@ -136,6 +138,7 @@
             keys: None,
             // A ban holds from the yes, 1 s after the call at the latest, at either process.
             bans: Duration::from_millis(250),
+            count: Duration::from_millis(100),
             hand_on: Duration::from_millis(300),
             // New settings are in use 1.2 s after SIGHUP; a client's last job of an old class is on its way
             // for a while then.
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -262,6 +262,7 @@
             loop {
                 every.tick().await;
                 follow_bans(&held, &place);
+                held.count_runners();
             }
         });
         // Once the door is served, so that whoever reads the register is answered.
--- a/node/src/runtime.rs
+++ b/node/src/runtime.rs
@@ -128,6 +128,8 @@
     /// Operators' calls under way, and what came of the last.
     handed: RefCell<Option<(u64, Result<(), &'static str>)>>,
     tickets: Cell<u64>,
+    /// When the runners were last counted.
+    counted: Cell<Instant>,
     retimed: Notify,
     stopping: Cell<bool>,
 }
@@ -147,6 +149,7 @@
             classes: RefCell::default(),
             handed: RefCell::default(),
             tickets: Cell::new(0),
+            counted: Cell::new(Instant::now()),
             retimed: Notify::new(),
             stopping: Cell::new(false),
         })
@@ -261,9 +264,11 @@
             return;
         }
         let before = self.core.borrow().due();
+        let mut tells_of_runners = false;
         loop {
             let next = self.inputs.borrow_mut().pop_front();
             let Some(input) = next else { break };
+            tells_of_runners |= matches!(input, Input::List(..) | Input::Hand { .. });
             match &input {
                 Input::Arrived(arrival) => {
                     log::debug!("request {} of class {}", arrival.id, arrival.job.class);
@@ -282,17 +287,23 @@
             }
         }
         self.stepping.set(false);
-        let core = self.core.borrow();
-        let (listed, avoided) = core.census();
-        Figures::set(&self.figures.current, core.open());
-        Figures::set(&self.figures.cluster_size, listed);
-        Figures::set(&self.figures.cluster_unhealthy, avoided);
-        drop(core);
+        Figures::set(&self.figures.current, self.core.borrow().open());
+        if tells_of_runners || self.counted.get().elapsed() > self.limits.count {
+            self.count_runners();
+        }
         if self.core.borrow().due() != before {
             self.retimed.notify_one();
         }
     }
 
+    /// Brings the figures on runners up to date: what the module avoids changes with time alone too.
+    pub fn count_runners(&self) {
+        let (listed, avoided) = self.core.borrow().census();
+        Figures::set(&self.figures.cluster_size, listed);
+        Figures::set(&self.figures.cluster_unhealthy, avoided);
+        self.counted.set(Instant::now());
+    }
+
     fn carry_out(&self, effect: Effect<Rc<Job>>) {
         match effect {
             Effect::Answer(ticket, answer) => {
--- a/node/tests/operations.rs
+++ b/node/tests/operations.rs
@@ -233,6 +233,28 @@
     assert_eq!(doors.filter(|name| name.starts_with("sablerun-door-")).count(), 1, "the new one's");
 }
 
+/// A listed runner that nobody can connect to is avoided by choice, and counts as unhealthy.
+#[test]
+fn a_runner_that_can_not_be_reached_counts_as_unhealthy() {
+    let nobody = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let discovery = Discovery::start(vec![host("s-1", nobody, "hall-a", "active")]);
+    let mut config = Program::config(discovery.at, settings());
+    config["admin_addr"] = "127.0.0.1:0".into();
+    let program = Program::start_with(config, None);
+    let at = door_of(&program);
+    let count = || {
+        let stats = door(at, "STATS\n");
+        (figure(&stats, "cluster_size"), figure(&stats, "cluster_unhealthy"))
+    };
+    assert_eq!(count(), (1, 0));
+    assert_eq!(served(program.at).0, 503, "it never ran anywhere");
+    let end = std::time::Instant::now() + PATIENCE;
+    while count() != (1, 1) {
+        assert!(std::time::Instant::now() < end, "{:?}", count());
+        std::thread::sleep(std::time::Duration::from_millis(20));
+    }
+}
+
 /// A process is replaced in the midst of a burst: every job gets its answer, from the old one or the new.
 #[test]
 fn no_job_of_a_burst_is_lost_while_the_process_is_replaced() {
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -466,14 +466,11 @@
         }
     }
 
-    /// A sign of life: suspicion ends.
-    fn alive(&mut self, i: usize) {
-        (self.workers[i].heard, self.workers[i].trial) = (self.at, None);
-    }
-
-    /// Guards against every silence alike; could do harm where workers pause, which the trials bound.
-    fn suspect(&mut self, i: usize) {
-        self.workers[i].trial.get_or_insert(self.at + TRIAL);
+    /// Whether a worker gets nothing for now by choice: it is suspect, or fails most of what it gets.
+    pub fn avoids(&self, worker: WorkerId) -> bool {
+        let i = worker.0 as usize;
+        let known = self.workers.get(i);
+        known.is_some_and(|w| w.trial.is_some() || self.missed(i, 0) * ALL_SHARE - self.erring >= MISS_LIMIT)
     }
 
     // ---- readiness, price and draw ----
@@ -845,7 +842,7 @@
                 self.out.push(Action::Timer(due, attempt_token(id, number as usize)));
             }
         }
-        self.alive(i);
+        (self.workers[i].heard, self.workers[i].trial) = (self.at, None);
     }
 
     /// How long after its start an attempt is overdue. Where answers have been lost of late, that is soon.
@@ -958,7 +955,7 @@
         let doomed = self.again.0 * left(self.at - self.again.1, MISS_HALF_LIFE);
         if matches!(outcome, Outcome::Ok | Outcome::Error | Outcome::Full) {
             self.workers[i].idle.push(self.at);
-            self.alive(i);
+            (self.workers[i].heard, self.workers[i].trial) = (self.at, None);
         }
         self.unload(id, number as usize);
         let w = &mut self.workers[i];
@@ -988,7 +985,9 @@
             Outcome::Reset if idle > 0.0 && started.is_none() && self.now < sent + due => {
                 self.lasted(idle, false);
             }
-            Outcome::ConnectFailed | Outcome::Reset => self.suspect(i),
+            Outcome::ConnectFailed | Outcome::Reset => {
+                w.trial.get_or_insert(self.at + TRIAL);
+            }
             Outcome::Timeout | Outcome::Cancelled if started.is_none() => self.miss(i, &[class + 1], 1.0),
             Outcome::Timeout | Outcome::Cancelled | Outcome::Moot => {}
         }
@@ -1053,7 +1052,8 @@
         let objective = self.settings.classes[request.class].objective.secs();
         let patience = if started { due } else { Span::from_secs(objective * PATIENCE).max(due) };
         if self.at - self.workers[i].heard > due.secs().max(0.5) && (self.now - heard).secs() > 0.5 {
-            self.suspect(i);
+            // Guards against every silence alike; could do harm where workers pause, which the trials bound.
+            self.workers[i].trial.get_or_insert(self.at + TRIAL);
         }
         if !started {
             // No start note in time: whoever holds the slots, none is free.
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -781,12 +781,15 @@
 fn workers_that_fail_fast_do_not_draw_the_traffic() {
     let mut world = World::new(Settings { zone: None, ..settings() }, 31);
     world.list(ListKind::Saved, (0..4).map(worker).collect());
-    let (mut bad, mut all) = (0, 0);
+    let (mut bad, mut all, mut avoided) = (0, 0, [0; 4]);
     for step in 0..4000u32 {
         if step % 10 == 0 {
             world.arrive(step, [0, 2, 3][step as usize / 10 % 3]);
         }
         world.pass(ms(5));
+        for (n, steps) in avoided.iter_mut().enumerate() {
+            *steps += u32::from(world.balancer.avoids(WorkerId(n as u32)));
+        }
         for (id, attempt) in world.open() {
             let (at, sent, _) = world.requests[&RequestId(id)].attempts[attempt as usize];
             let fails = at.0 < 2 && !(id / 10 + attempt).is_multiple_of(6);
@@ -803,6 +806,7 @@
     }
     let share = f64::from(bad) / f64::from(all);
     assert!(share < 0.2, "{bad} of {all} attempts went to the workers that fail");
+    assert!(avoided[0] > 1000 && avoided[1] > 1000 && avoided[2..] == [0, 0], "{avoided:?} of 4000 steps");
     assert_eq!(world.broken, [""; 0]);
 }
 
