Keep both processes' calls by hand: read the file of bans before each change

Each process of an upgrade writes the file of bans whole from its own memory, which follows the file every 250 ms, so a DISABLE at one door within that time of one at the other wrote over it: in the new test, eight calls at two doors in turn kept four. main.rs now takes on what the file holds before it carries a call out; what is left is two writes within the same fraction of a millisecond. Rejected: a lock file (a killed process would leave it, and every call would wait for it). With the change the test keeps all eight.

--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -241,6 +241,8 @@
                         continue;
                     }
                 };
+                // What the other process of an upgrade has kept since the last look stays kept.
+                follow_bans(&held, &file);
                 let result = held.hand(runner.clone(), out, false);
                 let word = if out { "taken out" } else { "put back" };
                 match result {
--- a/node/tests/operations.rs
+++ b/node/tests/operations.rs
@@ -233,6 +233,28 @@
     assert_eq!(doors.filter(|name| name.starts_with("sablerun-door-")).count(), 1, "the new one's");
 }
 
+/// Calls at both doors of an upgrade, one right after the other, are all kept: none writes over another's.
+#[test]
+fn calls_at_both_doors_of_an_upgrade_are_all_kept() {
+    let (runner, discovery, mut config) = one_runner(true);
+    let socket = shared_socket(&mut config);
+    let old = on_shared(&config, &socket, None);
+    let new = on_shared(&config, &socket, Some(&old));
+    let names: Vec<_> = (1..9).map(|n| format!("s-{n}")).collect();
+    let hosts: Vec<_> = names.iter().map(|name| host(name, runner.at, "hall-a", "active")).collect();
+    discovery.tell(&hosts);
+    for program in [&old, &new] {
+        program.log.wait(": 8 entries", 1);
+    }
+    let doors = [door_of(&old), door_of(&new)];
+    for (n, name) in names.iter().enumerate() {
+        assert_eq!(door(doors[n % 2], &format!("DISABLE {name}\n")), "OK\n");
+    }
+    let file = std::path::Path::new(&old.config).with_file_name("sablerun-bans");
+    let kept = std::fs::read_to_string(file).unwrap();
+    assert_eq!(kept.lines().collect::<Vec<_>>(), names);
+}
+
 /// A listed runner that nobody can connect to is avoided by choice, and counts as unhealthy.
 #[test]
 fn a_runner_that_can_not_be_reached_counts_as_unhealthy() {
