--- a/lab/src/scripted.rs
+++ b/lab/src/scripted.rs
@@ -9,6 +9,7 @@
 use crate::experiment::{Class, Group};
 use crate::fleet::{program, settings_of};
 use crate::http::{self, Connection, Message, exchange};
+use command_fds::{CommandFdExt, FdMapping};
 use serde_json::{Value, json};
 use std::io::{self, BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpStream};
@@ -121,8 +122,9 @@
     pub at: SocketAddr,
     pub faktory: Option<SocketAddr>,
     pub log: Events,
-    /// The file of its configuration.
+    /// The file of its configuration, and its `$TMPDIR`.
     pub config: PathBuf,
+    pub folder: PathBuf,
 }
 
 impl Program {
@@ -141,6 +143,19 @@
         command
     }
 
+    /// A command for a process on a clients' socket that the caller holds, as the platform does; with the
+    /// `$TMPDIR` of a process that it replaces, where one is named.
+    pub fn command_on(config: &Value, socket: &std::net::TcpListener, replaces: Option<&Program>) -> Command {
+        let mut command = Program::command(config, None);
+        if let Some(old) = replaces {
+            command.env("TMPDIR", &old.folder);
+        }
+        let parent_fd = socket.try_clone().unwrap().into();
+        command.fd_mappings(vec![FdMapping { parent_fd, child_fd: 5 }]).unwrap();
+        command.env("NODE_LISTEN_FD", "5");
+        command
+    }
+
     pub fn config(discovery: SocketAddr, settings: Value) -> Value {
         json!({"name": "n0", "listen": "127.0.0.1:0", "discovery": discovery.to_string(),
                "seed": "8c1f30d27a5be964", "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
@@ -159,7 +174,11 @@
 
     /// Starts a command that was made ready, and waits likewise.
     pub fn spawn(mut command: Command, faktory: bool) -> Program {
-        let config = command.get_envs().find(|(name, _)| *name == "NODE_CONFIG").unwrap().1.unwrap().into();
+        let told = |what: &str| {
+            let told = command.get_envs().find(|(name, _)| *name == what).unwrap().1.unwrap();
+            PathBuf::from(told)
+        };
+        let (config, folder) = (told("NODE_CONFIG"), told("TMPDIR"));
         let mut child = command.spawn().unwrap();
         let (log, lines) = (Events::default(), BufReader::new(child.stderr.take().unwrap()));
         let told = log.clone();
@@ -171,7 +190,13 @@
         let at = after(log.wait("ready on ", 1), "ready on ");
         let faktory = faktory.then(|| after(log.wait("faktory on ", 1), "faktory on "));
         log.wait("list Full", 1);
-        Program { child, at, faktory, log, config }
+        Program { child, at, faktory, log, config, folder }
+    }
+
+    /// Where its operators' door is.
+    pub fn door(&self) -> SocketAddr {
+        let line = self.log.wait("operators' door on ", 1);
+        line.split_once("operators' door on ").unwrap().1.trim().parse().unwrap()
     }
 
     pub fn signal(&self, name: &str) {
--- a/node/benches/operate.rs
+++ b/node/benches/operate.rs
@@ -5,14 +5,12 @@
 //! Clients in a closed loop keep the serving thread busy from its start to its end. Beside them callers that
 //! say half a call stay on the door, and one process after another takes over the clients' socket.
 
-use command_fds::{CommandFdExt, FdMapping};
 use hdrhistogram::Histogram;
 use sablerun_lab::http::read_message;
 use sablerun_lab::scripted::{Discovery, Program, Runner, api, host, new_id, settings};
 use serde_json::{Value, json};
 use std::io::{BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::path::Path;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering::Relaxed};
 use std::sync::{Arc, Mutex};
 use std::thread;
@@ -49,21 +47,12 @@
     wrong: AtomicU64,
 }
 
-/// A process on the clients' socket, with a door; in the folder of the one that it replaces.
-fn start(config: &Value, socket: &TcpListener, folder: Option<&Path>) -> (Program, SocketAddr) {
-    let mut command = Program::command(config, None);
+/// A process on the clients' socket, with a door, in place of another.
+fn start(config: &Value, socket: &TcpListener, replaces: Option<&Program>) -> Program {
+    let mut command = Program::command_on(config, socket, replaces);
     // The usual log: a line for each attempt would be the load.
     command.env("RUST_LOG", "info,sablerun::net::discovery=debug");
-    if let Some(folder) = folder {
-        command.env("TMPDIR", folder);
-    }
-    let copy = socket.try_clone().expect("a copy of the socket").into();
-    command.fd_mappings(vec![FdMapping { parent_fd: copy, child_fd: 5 }]).expect("one mapping");
-    command.env("NODE_LISTEN_FD", "5");
-    let program = Program::spawn(command, false);
-    let line = program.log.wait("operators' door on ", 1);
-    let door = line.split_once("door on ").and_then(|(_, at)| at.trim().parse().ok()).expect("an address");
-    (program, door)
+    Program::spawn(command, false)
 }
 
 fn client(shared: &Shared, at: SocketAddr) {
@@ -140,13 +129,12 @@
     let at = socket.local_addr().expect("bound above");
     let mut config = Program::config(discovery.at, settings());
     (config["listen"], config["admin_addr"]) = (at.to_string().into(), "127.0.0.1:0".into());
-    let (mut serving, door) = start(&config, &socket, None);
-    let folder = serving.config.parent().expect("a file in a folder").to_owned();
+    let mut serving = start(&config, &socket, None);
     runners.iter().for_each(|runner| runner.call_back_to(&serving));
     let shared = Arc::new(Shared {
         stop: AtomicBool::new(false),
         ends: Ends::default(),
-        door: Mutex::new(door),
+        door: Mutex::new(serving.door()),
         answers: Mutex::new(Histogram::new_with_max(60_000_000, 3).expect("sound bounds")),
         wrong: AtomicU64::new(0),
     });
@@ -163,8 +151,8 @@
     let began = Instant::now();
     for _ in 0..REPLACEMENTS {
         thread::sleep(BETWEEN);
-        let (next, door) = start(&config, &socket, Some(&folder));
-        *shared.door.lock().expect("no holder panics") = door;
+        let next = start(&config, &socket, Some(&serving));
+        *shared.door.lock().expect("no holder panics") = next.door();
         // Calls under way at the old door are answered before it goes.
         thread::sleep(Duration::from_millis(25));
         serving.signal("TERM");
--- a/node/tests/operations.rs
+++ b/node/tests/operations.rs
@@ -3,24 +3,14 @@
 
 mod common;
 
-use command_fds::{CommandFdExt, FdMapping};
 use common::*;
 use serde_json::Value;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::os::fd::OwnedFd;
 
-/// A process of the dispatcher on a clients' socket that the test holds, as the platform does; with the
-/// `$TMPDIR` of a process that it replaces, where one is named.
+/// A process of the dispatcher on a clients' socket that the test holds.
 fn on_shared(config: &Value, socket: &TcpListener, replaces: Option<&Program>) -> Program {
-    let mut command = Program::command(config, None);
-    if let Some(old) = replaces {
-        command.env("TMPDIR", std::path::Path::new(&old.config).parent().unwrap());
-    }
-    let copy: OwnedFd = socket.try_clone().unwrap().into();
-    command.fd_mappings(vec![FdMapping { parent_fd: copy, child_fd: 5 }]).unwrap();
-    command.env("NODE_LISTEN_FD", "5");
-    Program::spawn(command, false)
+    Program::spawn(Program::command_on(config, socket, replaces), false)
 }
 
 fn served(at: SocketAddr) -> (u16, String) {
@@ -73,7 +63,9 @@
 
 /// A runner's word on a job, as the runner `s-0` would give it.
 fn call_back(at: SocketAddr, id: &str, state: &str) -> u16 {
-    let body = serde_json::json!({"id": id, "from": "s-0", "state": state, "result": "by s-0"}).to_string();
+    // Over several lines, as a runner may write it.
+    let body = serde_json::json!({"id": id, "from": "s-0", "state": state, "result": "by s-0"});
+    let body = format!("{body:#}");
     call(at, "POST /v1/job-events HTTP/1.1", &body).status()
 }
 
@@ -102,17 +94,21 @@
     socket
 }
 
-/// Where a program's door is.
-fn door_of(program: &Program) -> SocketAddr {
-    let line = program.log.wait("operators' door on ", 1);
-    line.split_once("operators' door on ").unwrap().1.trim().parse().unwrap()
+/// One runner, discovery, and a process on a shared socket with a door, which the runner calls back to: what
+/// an upgrade begins with.
+fn before_an_upgrade() -> (Runner, Discovery, Value, TcpListener, Program) {
+    let (runner, discovery, mut config) = one_runner(true);
+    let socket = shared_socket(&mut config);
+    let old = on_shared(&config, &socket, None);
+    runner.call_back_to(&old);
+    (runner, discovery, config, socket, old)
 }
 
 #[test]
 fn the_door_says_ready_and_tells_the_figures() {
     let (runner, _discovery, config) = one_runner(true);
     let program = Program::start_with(config, None);
-    let at = door_of(&program);
+    let at = program.door();
     runner.call_back_to(&program);
     assert_eq!(door(at, "READY\n"), "OK ready\n");
     assert_eq!(served(program.at), (200, "by s-0".to_owned()));
@@ -141,7 +137,7 @@
     let mut config = Program::config(discovery.at, settings());
     config["admin_addr"] = "127.0.0.1:0".into();
     let program = Program::start_with(config, None);
-    let at = door_of(&program);
+    let at = program.door();
     let mut silent = TcpStream::connect(at).unwrap();
     let mut half = TcpStream::connect(at).unwrap();
     half.write_all(b"STA").unwrap();
@@ -174,11 +170,8 @@
 
 #[test]
 fn a_runner_taken_out_by_hand_gets_nothing_new_until_it_is_put_back_even_over_an_upgrade() {
-    let (runner, discovery, mut config) = one_runner(true);
-    let socket = shared_socket(&mut config);
-    let mut old = on_shared(&config, &socket, None);
-    let at = door_of(&old);
-    runner.call_back_to(&old);
+    let (runner, discovery, config, socket, mut old) = before_an_upgrade();
+    let at = old.door();
     assert_eq!(door(at, "DISABLE s-9\n"), "ERR no runner of that id was ever listed\n");
     assert_eq!(door(at, "DISABLE s-0\n"), "OK\n");
     assert_eq!(door(at, "DISABLE s-0\n"), "OK\n", "a repeated call changes nothing");
@@ -188,9 +181,9 @@
     assert_eq!(status, 503, "nothing goes to a runner taken out");
     assert_eq!(runner.seen.count("POST serve"), sent);
     // The successor finds the ban kept; discovery's word does not end it.
-    let folder = std::path::Path::new(&old.config).parent().unwrap().to_owned();
+    let folder = old.folder.clone();
     let new = on_shared(&config, &socket, Some(&old));
-    let at = door_of(&new);
+    let at = new.door();
     old.signal("TERM");
     assert!(old.child.wait().unwrap().success());
     discovery.tell(&[host("s-0", runner.at, "hall-a", "active")]);
@@ -206,18 +199,15 @@
 /// accepts alone by then: it is handed on, and the job is served. A word on a job of nobody is answered too.
 #[test]
 fn a_call_back_that_reaches_the_successor_serves_the_job_of_the_process_before() {
-    let (runner, _discovery, mut config) = one_runner(true);
-    let socket = shared_socket(&mut config);
-    let at = socket.local_addr().unwrap();
-    let mut old = on_shared(&config, &socket, None);
-    runner.call_back_to(&old);
-    door_of(&old);
+    let (runner, _discovery, config, socket, mut old) = before_an_upgrade();
+    let at = old.at;
+    old.door();
     let id = new_id();
     let request = api("short-pick", &id, "5000m", "");
     let under_way = std::thread::spawn(move || call(at, &request, "hang"));
     runner.seen.wait("POST hang", 1);
     let new = on_shared(&config, &socket, Some(&old));
-    door_of(&new);
+    new.door();
     old.signal("TERM");
     old.log.wait("lets clients go", 1);
     assert_eq!(call_back(at, "0badcafe", "done"), 200, "nobody's job");
@@ -227,18 +217,15 @@
     assert_eq!((answer.status(), answer.body.as_str()), (200, "by s-0"));
     assert!(old.child.wait().unwrap().success());
     assert_eq!(call_back(at, &id, "done"), 200, "told again when nobody is left to ask");
-    let folder = std::path::Path::new(&old.config).parent().unwrap();
     let doors =
-        std::fs::read_dir(folder).unwrap().filter_map(|file| file.ok()?.file_name().into_string().ok());
+        std::fs::read_dir(&old.folder).unwrap().filter_map(|file| file.ok()?.file_name().into_string().ok());
     assert_eq!(doors.filter(|name| name.starts_with("sablerun-door-")).count(), 1, "the new one's");
 }
 
 /// Calls at both doors of an upgrade, one right after the other, are all kept: none writes over another's.
 #[test]
 fn calls_at_both_doors_of_an_upgrade_are_all_kept() {
-    let (runner, discovery, mut config) = one_runner(true);
-    let socket = shared_socket(&mut config);
-    let old = on_shared(&config, &socket, None);
+    let (runner, discovery, config, socket, old) = before_an_upgrade();
     let new = on_shared(&config, &socket, Some(&old));
     let names: Vec<_> = (1..9).map(|n| format!("s-{n}")).collect();
     let hosts: Vec<_> = names.iter().map(|name| host(name, runner.at, "hall-a", "active")).collect();
@@ -246,11 +233,11 @@
     for program in [&old, &new] {
         program.log.wait(": 8 entries", 1);
     }
-    let doors = [door_of(&old), door_of(&new)];
+    let doors = [old.door(), new.door()];
     for (n, name) in names.iter().enumerate() {
         assert_eq!(door(doors[n % 2], &format!("DISABLE {name}\n")), "OK\n");
     }
-    let file = std::path::Path::new(&old.config).with_file_name("sablerun-bans");
+    let file = old.folder.join("sablerun-bans");
     let kept = std::fs::read_to_string(file).unwrap();
     assert_eq!(kept.lines().collect::<Vec<_>>(), names);
 }
@@ -263,7 +250,7 @@
     let mut config = Program::config(discovery.at, settings());
     config["admin_addr"] = "127.0.0.1:0".into();
     let program = Program::start_with(config, None);
-    let at = door_of(&program);
+    let at = program.door();
     let count = || {
         let stats = door(at, "STATS\n");
         (figure(&stats, "cluster_size"), figure(&stats, "cluster_unhealthy"))
@@ -280,11 +267,8 @@
 /// A process is replaced in the midst of a burst: every job gets its answer, from the old one or the new.
 #[test]
 fn no_job_of_a_burst_is_lost_while_the_process_is_replaced() {
-    let (runner, _discovery, mut config) = one_runner(true);
-    let socket = shared_socket(&mut config);
-    let at = socket.local_addr().unwrap();
-    let mut old = on_shared(&config, &socket, None);
-    runner.call_back_to(&old);
+    let (runner, _discovery, config, socket, mut old) = before_an_upgrade();
+    let at = old.at;
     let client = move || {
         let job = move |_| call(at, &api("short-pick", &new_id(), "5000m", ""), "job").status();
         (0..15).map(job).collect::<Vec<_>>()
@@ -308,7 +292,7 @@
 fn a_configuration_of_no_use_at_sighup_is_turned_down_whole_and_counted() {
     let (runner, _discovery, config) = one_runner(true);
     let program = Program::start_with(config.clone(), None);
-    let at = door_of(&program);
+    let at = program.door();
     runner.call_back_to(&program);
     let whole = config.to_string();
     let mut no_key = config.clone();
@@ -344,7 +328,7 @@
 fn new_settings_at_sighup_are_put_to_use_and_jobs_under_way_keep_their_class() {
     let (runner, _discovery, mut config) = one_runner(true);
     let program = Program::start_with(config.clone(), None);
-    let at = door_of(&program);
+    let at = program.door();
     runner.call_back_to(&program);
     let post = |class: &str, keyed: bool| {
         let request = api(class, &new_id(), "5000m", "");
