--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -17,6 +17,7 @@
 use crate::core::{Core, Input};
 use crate::limits::Limits;
 use crate::net::callbacks::{self, CallBack};
+use crate::net::door::{Ask, Asked};
 use crate::net::faktory::Faktory;
 use crate::net::{discovery, platform, runners};
 use crate::operator::Operator;
@@ -27,10 +28,12 @@
 use sablerun_settings::Env;
 use serde_json::Value;
 use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::mpsc::UnboundedReceiver;
 
 /// What `$NODE_CONFIG` holds.
 #[derive(serde::Deserialize)]
@@ -110,6 +113,16 @@
     Ok((config, text))
 }
 
+/// What of the configuration holds from the start to the end, as JSON pointers.
+const READ_AT_START: [&str; 6] = [
+    "/name",
+    "/listen",
+    "/limits",
+    "/settings/limits/connIdle",
+    "/settings/limits/connectTimeout",
+    "/settings/limits/maxOpen",
+];
+
 /// Reads the configuration anew: discovery may have moved, and new settings hold from now on. A file
 /// that makes no sense, or is half written, changes nothing.
 fn reload(runtime: &Runtime, text: &mut Value, kept: Option<&operator::Keys>) {
@@ -121,18 +134,14 @@
         Ok((config, new, (settings, tables))) => {
             figures::Figures::add(&runtime.figures.conf_loaded);
             log::info!("configuration read anew, discovery at {}", config.discovery);
-            for key in ["/name", "/listen", "/limits", "/settings/limits/connIdle"]
-                .into_iter()
-                .chain(["/settings/limits/connectTimeout", "/settings/limits/maxOpen"])
-            {
+            for key in READ_AT_START {
                 if new.pointer(key) != text.pointer(key) {
                     let key = key.trim_start_matches('/').replace('/', ".");
                     log::warn!("NODE_CONFIG: {key}: has changed, which takes effect at the next start");
                 }
             }
             if new["settings"] != text["settings"] {
-                let rules = kept.iter().flat_map(|kept| settings.classes.iter().map(|c| kept.rule(c)));
-                let rules = rules.collect();
+                let rules = kept.map_or_else(Vec::new, |kept| kept.rules(&settings.classes));
                 let until = runtime.clock.now() + sr::Span(runtime.limits.vanished.as_nanos() as u64);
                 let (classes, attempts) = (tables.classes.all().join(","), settings.max_attempts);
                 let retune = crate::core::Retune { settings, tables, rules, until };
@@ -159,7 +168,7 @@
     let bounds = kept.as_ref().map(|kept| kept.bounds(sr::Span::from_secs(0.25)));
     let limits = Limits::new(machine.sockets, machine.memory_mb, &config.settings, gateway.is_some());
     let limits = limits.with_keys(bounds);
-    let rules = kept.as_ref().map(|kept| settings.classes.iter().map(|class| kept.rule(class)).collect());
+    let rules = kept.as_ref().map(|kept| kept.rules(&settings.classes));
     let doubts: Vec<_> = kept.iter().flat_map(|k| settings.classes.iter().map(|c| k.doubt(c))).collect();
     let snapshot_file = kept.as_ref().and_then(|kept| kept.snapshot.clone());
     let clock = Clock::new();
@@ -224,45 +233,17 @@
     let listen = bound.unwrap_or(config.listen);
     if let Some(door) = door {
         let at = door.local_addr().map_err(|e| format!("admin_addr: {e}"))?;
-        let (asks, mut asked) = tokio::sync::mpsc::unbounded_channel::<net::door::Asked>();
+        let (asks, asked) = tokio::sync::mpsc::unbounded_channel();
         let limits = net::door::DoorLimits::default();
         net::door::start(door, runtime.figures.clone(), asks, limits)
             .map_err(|e| format!("admin_addr: {e}"))?;
-        let held = runtime.clone();
         let place = bans::place();
         follow_bans(&runtime, &place);
-        let file = place.clone();
-        actix_rt::spawn(async move {
-            while let Some(net::door::Asked { ask, reply }) = asked.recv().await {
-                let (runner, out) = match ask {
-                    net::door::Ask::Hand { runner, out } => (runner, out),
-                    net::door::Ask::Told(call_back) => {
-                        let _ = reply.send(told(&held, &call_back));
-                        continue;
-                    }
-                };
-                // What the other process of an upgrade has kept since the last look stays kept.
-                follow_bans(&held, &file);
-                let result = held.hand(runner.clone(), out, false);
-                let word = if out { "taken out" } else { "put back" };
-                match result {
-                    Ok(()) => log::info!(runner = runner.as_str(); "runner {word} by hand"),
-                    Err(why) => log::warn!(runner = runner.as_str(); "runner not {word}: {why}"),
-                }
-                // The yes is given once the ban is on disk, where a successor finds it.
-                let kept = result.map_err(str::to_owned).and_then(|()| {
-                    let banned = held.banned();
-                    bans::write(&file, banned.iter().map(String::as_str))
-                        .map_err(|e| format!("{word} here, but not kept in {}: {e}", file.display()))
-                });
-                let _ = reply.send(kept);
-            }
-        });
+        actix_rt::spawn(carry_out(runtime.clone(), asked, place.clone()));
         let held = runtime.clone();
         actix_rt::spawn(async move {
-            let mut every = tokio::time::interval(held.limits.bans);
             loop {
-                every.tick().await;
+                tokio::time::sleep(held.limits.bans).await;
                 follow_bans(&held, &place);
                 held.count_runners();
             }
@@ -343,6 +324,33 @@
     Ok(())
 }
 
+/// Carries out what callers at the door ask of the serving thread, one after the other.
+async fn carry_out(runtime: Rc<Runtime>, mut asked: UnboundedReceiver<Asked>, bans: PathBuf) {
+    while let Some(Asked { ask, reply }) = asked.recv().await {
+        let done = match ask {
+            Ask::Hand { runner, out } => by_hand(&runtime, &runner, out, &bans),
+            Ask::Told(call_back) => told(&runtime, &call_back),
+        };
+        // Fails only if the caller was answered already: its time was over.
+        let _ = reply.send(done);
+    }
+}
+
+/// Takes a runner out by hand, or puts it back. The yes is given once the ban is on disk, where a successor
+/// finds it.
+fn by_hand(runtime: &Runtime, runner: &str, out: bool, file: &Path) -> Result<(), String> {
+    // What the other process of an upgrade has kept since the last look stays kept.
+    follow_bans(runtime, file);
+    let word = if out { "taken out" } else { "put back" };
+    if let Err(why) = runtime.hand(runner.to_owned(), out, false) {
+        log::warn!(runner = runner; "runner not {word}: {why}");
+        return Err(why.to_owned());
+    }
+    log::info!(runner = runner; "runner {word} by hand");
+    bans::write(file, runtime.banned().iter().map(String::as_str))
+        .map_err(|e| format!("{word} here, but not kept in {}: {e}", file.display()))
+}
+
 /// Takes a runner's call-back that the other process of an upgrade handed on.
 fn told(runtime: &Runtime, call_back: &str) -> Result<(), String> {
     let told: CallBack = serde_json::from_str(call_back).map_err(|e| format!("TOLD: {e}"))?;
@@ -355,7 +363,7 @@
 }
 
 /// Takes on the bans that the file holds: a predecessor's, or the other process's during an upgrade.
-fn follow_bans(runtime: &Runtime, file: &std::path::Path) {
+fn follow_bans(runtime: &Runtime, file: &Path) {
     let kept = match bans::read(file) {
         Ok(kept) => kept,
         Err(e) => return log::warn!("bans: {}: {e}", file.display()),
--- a/node/src/net/faktory.rs
+++ b/node/src/net/faktory.rs
@@ -267,7 +267,6 @@
     runtime: Rc<Runtime>,
     gateway: Gateway,
     password: Option<String>,
-    /// The class's own patience, by class.
     identities: Option<Arc<Identities>>,
     workers: RefCell<HashMap<String, Worker>>,
     attempts: RefCell<HashMap<AttemptId, (String, Rc<str>)>>,
--- a/node/src/net/platform.rs
+++ b/node/src/net/platform.rs
@@ -409,9 +409,9 @@
         let known = self.runtime.knows(&told.id);
         let peers = self.peers.borrow().clone().filter(|_| !known);
         if let Some(peers) = peers {
-            // Written anew on one line, as the door takes it.
-            let line = serde_json::from_slice::<serde_json::Value>(&body).map(|body| body.to_string());
-            return match peers.hand_on(&line.unwrap_or_default()).await {
+            // On one line, as the door takes it: in JSON a line's end is white space only, never in a text.
+            let line = String::from_utf8_lossy(&body).replace(['\r', '\n'], " ");
+            return match peers.hand_on(&line).await {
                 Handed::Taken | Handed::Nowhere => Reply::new(StatusCode::OK, ""),
                 Handed::Unreached => {
                     log::warn!(id = told.id.as_str(); "call-back not handed on: the other process is silent");
--- a/node/src/operator.rs
+++ b/node/src/operator.rs
@@ -186,6 +186,11 @@
         keys::Rule { window: class.window, keep: keep.max(class.window) }
     }
 
+    /// The same for each of these classes.
+    pub fn rules(&self, classes: &[sr::Class]) -> Vec<keys::Rule> {
+        classes.iter().map(|class| self.rule(class)).collect()
+    }
+
     /// For how long after a start a class's marked later try may be of a request that a predecessor sent
     /// where this process can't know. Workers of one group that is all of them drop it anywhere.
     pub fn doubt(&self, class: &sr::Class) -> sr::Span {
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -369,20 +369,17 @@
             (name.clone(), field)
         });
         let fields = fields.collect();
-        let names = (
-            Names::of(env.services.iter().map(|s| &s.name)),
-            Names::of(env.projects.iter().map(|p| &p.name)),
-        );
+        let classes = Names::of(env.services.iter().map(|service| &service.name));
+        let tenants = Names::of(env.projects.iter().map(|project| &project.name));
         // Numbers are places in these lists: a name twice would shift all that follow.
         for (what, named, listed) in
-            [("services", &names.0, env.services.len()), ("projects", &names.1, env.projects.len())]
+            [("services", &classes, env.services.len()), ("projects", &tenants, env.projects.len())]
         {
             if named.all().len() < listed {
                 return Err(format!("{what}: a name stands twice"));
             }
         }
-        let tables =
-            Tables { workers: Names::default(), zones, kinds, classes: names.0, tenants: names.1, fields };
+        let tables = Tables { workers: Names::default(), zones, kinds, classes, tenants, fields };
         settings.validate().map_err(|e| e.to_string())?;
         Ok((settings, tables))
     }
