--- a/node/src/core.rs
+++ b/node/src/core.rs
@@ -13,6 +13,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
+mod hands;
 #[cfg(test)]
 mod model;
 mod retune;
@@ -364,62 +365,6 @@
         self.tally
     }
 
-    /// Runners on the list, and of those the ones avoided now: by hand, as the list drains them, or by the
-    /// module's choice.
-    pub fn census(&self) -> (usize, usize) {
-        let avoided = |(worker, out): &(&u32, &bool)| **out || self.balancer.avoids(sr::WorkerId(**worker));
-        (self.standings.len(), self.standings.iter().filter(avoided).count())
-    }
-
-    /// The runners taken out by hand, by name.
-    pub fn banned(&self) -> impl Iterator<Item = &str> {
-        self.banned.iter().map(|worker| self.tables.workers.name(*worker))
-    }
-
-    /// Takes a runner out by hand, or puts it back: the module hears of it as of a drain, or of the list's
-    /// own word again. Asking twice changes nothing; a name never listed is turned down.
-    fn hand(&mut self, now: sr::Time, runner: &str, out: bool, shared: bool) -> Result<(), &'static str> {
-        let worker = match shared {
-            true => self.tables.workers.number(runner),
-            false => self.tables.workers.get(runner).ok_or("no runner of that id was ever listed")?,
-        };
-        let changed = if out { self.banned.insert(worker) } else { self.banned.remove(&worker) };
-        if !changed {
-            return Ok(());
-        }
-        let entries: Vec<_> =
-            self.lists.iter().filter(|((_, w), _)| *w == worker).map(|(_, e)| e.clone()).collect();
-        if !entries.is_empty() {
-            let mut entries = self.as_told(entries);
-            if !out && self.settings.drain_binds_alone {
-                // There a drain holds until a later start: to the module the runner starts now, and cold.
-                entries.iter_mut().for_each(|entry| entry.up_since = Some(now));
-            }
-            self.tell(now, sr::Event::List(sr::ListKind::Delta, entries));
-        }
-        self.count_runners();
-        Ok(())
-    }
-
-    /// Entries as the module is to hear them: a runner taken out by hand drains.
-    fn as_told(&self, mut entries: Vec<sr::ListEntry>) -> Vec<sr::ListEntry> {
-        for entry in &mut entries {
-            if self.banned.contains(&entry.worker.0) && entry.standing == sr::Standing::Ready {
-                entry.standing = sr::Standing::Draining;
-            }
-        }
-        entries
-    }
-
-    fn count_runners(&mut self) {
-        let mut listed: BTreeMap<u32, bool> = BTreeMap::new();
-        for ((_, worker), entry) in &self.lists {
-            let avoided = self.banned.contains(worker) || entry.standing != sr::Standing::Ready;
-            *listed.entry(*worker).or_insert(true) &= avoided;
-        }
-        self.standings = listed;
-    }
-
     /// When the next timer is due.
     pub fn due(&self) -> Option<sr::Time> {
         self.timers.peek().map(|Reverse((at, ..))| *at)
