Share the backoff of calls for the list over the fleet, so that discovery drains its line

A call that has waited too long still takes its turn there, so the line never got shorter.

Ruled out: refusals by full connections or descriptors (78 of 384 used), silent watches (no "silent" or "ended" in any log).

At fault: Balancer::list_failed: the wait was the same in a fleet of 5 and of 100. A site of up to 8 is not changed.

--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -346,6 +346,7 @@
             sized: matches!(env.weights.as_str(), "nominal" | "rough"),
             max_hold_off: sr::Span(if env.limits.retry_after { env.limits.max_retry_after } else { 0 }),
             drain_grace: sr::Span(env.rules.drain_grace),
+            ask_within: env.rules.ask_within.map_or(sr::Settings::default().ask_within, sr::Span),
             drain_binds_alone: env.rules.drain_binds_alone,
             cold_from: env.rules.cold_from,
             warm_after: sr::Span(env.rules.warm_after),
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -23,8 +23,8 @@
 const TRIAL: f64 = 1.0;
 /// An entry without news for this long is probed where probes exist (the paper's psi), in seconds.
 const STALE: f64 = 2.0;
-/// Dispatchers that may probe a worker as often as that.
-const PROBERS: f64 = 8.0;
+/// Dispatchers that may probe a worker as often as that, or call discovery after the first backoff.
+const CROWD: f64 = 8.0;
 /// Time in which peers without news are believed idle again, in seconds (8, 30 and 120 were tried).
 const FORGET: f64 = 30.0;
 /// Gain of one sight in what a worker's peers show of their queues.
@@ -327,13 +327,9 @@
 
     fn list(&mut self, kind: ListKind, entries: Vec<ListEntry>) {
         let alone = self.settings.drain_binds_alone;
-        if kind != ListKind::Delta {
-            for old in &mut self.entries {
-                if !entries.iter().any(|e| e.worker == old.worker) {
-                    old.standing = Standing::Gone;
-                }
-            }
-        }
+        let full = kind != ListKind::Delta;
+        let missing = |old: &&mut ListEntry| full && !entries.iter().any(|e| e.worker == old.worker);
+        self.entries.iter_mut().filter(missing).for_each(|old| old.standing = Standing::Gone);
         for mut entry in entries {
             let i = entry.worker.0 as usize;
             for n in self.workers.len()..=i {
@@ -371,19 +367,26 @@
         self.list_backoff = 0.2;
     }
 
-    /// Asks again after a growing wait with jitter, so that dispatchers do not call in step.
+    /// Asks again after a growing wait with full jitter that all dispatchers share, so that they neither call
+    /// in step nor keep discovery's line full of calls which end unanswered.
     fn list_failed(&mut self) {
         if self.settings.discovery == Discovery::Asked && !self.subscribing {
             self.subscribing = true;
-            let wait = self.list_backoff * self.chance();
+            let most = self.settings.ask_within.secs().max(2.0);
+            let wait = (self.list_backoff * self.crowd()).min(most) * self.chance();
             self.list_backoff = (self.list_backoff * 2.0).min(2.0);
             self.out.push(Action::Timer(self.now + Span::from_secs(wait), SUBSCRIBE));
         }
     }
 
-    /// Probes entries without news, so often that many dispatchers probe a worker no more than `PROBERS`.
+    /// How many times more dispatchers there are than may do a thing as often as one alone.
+    fn crowd(&self) -> f64 {
+        (f64::from(self.settings.dispatchers) / CROWD).max(1.0)
+    }
+
+    /// Probes entries without news, so often that many dispatchers probe a worker no more than `CROWD`.
     fn housekeeping(&mut self) {
-        let psi = STALE * (f64::from(self.settings.dispatchers) / PROBERS).max(1.0);
+        let psi = STALE * self.crowd();
         for (entry, w) in self.entries.iter().zip(&mut self.workers) {
             if w.listed && !w.drained && entry.standing == Standing::Ready && self.at - w.reported_at > psi {
                 w.reported_at = self.at;
@@ -583,12 +586,12 @@
 
     /// `C = (QL + 1) * PT + CD`, over the chance that the attempt succeeds.
     fn price(&self, request: &Request, i: usize, v: &View, new: bool) -> f64 {
-        let w = &self.workers[i];
         let class = &self.settings.classes[request.class];
         let time = request.work * v.slowness / v.warmth;
         let price = self.settings.prices.cross_zone * f64::from(u8::from(self.away(i)))
             + self.settings.prices.handshake * f64::from(u8::from(new));
-        let transfer = w.transfer + price * (class.objective.secs() + class.stretch * request.work);
+        let transfer =
+            self.workers[i].transfer + price * (class.objective.secs() + class.stretch * request.work);
         let cost = ((v.queue + 1.0) * time + transfer) / (1.0 - self.fails(i, request.class)).max(0.05);
         cost.max(FLOOR)
     }
@@ -795,11 +798,10 @@
         self.held.remove(&(request.over_share, request.rank, id));
         request.settled = true;
         if self.settings.cancel && !request.streaming {
-            for (number, attempt) in request.attempts.iter_mut().enumerate() {
-                if attempt.ended.is_none() && !attempt.cancelled {
-                    attempt.cancelled = true;
-                    self.out.push(Action::Cancel(id, number as u32));
-                }
+            let open = |(_, a): &(usize, &mut Attempt)| a.ended.is_none() && !a.cancelled;
+            for (number, attempt) in request.attempts.iter_mut().enumerate().filter(open) {
+                attempt.cancelled = true;
+                self.out.push(Action::Cancel(id, number as u32));
             }
         }
         if !request.outstanding() {
@@ -809,13 +811,12 @@
 
     fn noted(&mut self, id: RequestId, number: u32, note: Note) {
         let Some(request) = self.requests.get_mut(&id) else { return };
-        let (class, slots, work) = (request.class, request.slots, request.work);
+        let (class, slots, work, hinted) = (request.class, request.slots, request.work, request.hint > 0.0);
         let attempt = request.attempts.get_mut(number as usize).filter(|a| a.ended.is_none());
         let Some(attempt) = attempt else { return };
         attempt.heard = self.now;
         let (i, idle, delay) = (attempt.worker, attempt.idle, (self.now - attempt.sent).secs());
         if note == Note::Started && attempt.started.is_none() {
-            let hinted = request.hint > 0.0;
             attempt.started = Some(self.now);
             self.lasted(idle, true);
             let due = self.start_due(i, idle, class).secs();
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -214,6 +214,8 @@
     pub max_hold_off: Span,
     /// How long after word of a drain sends to the worker must have ceased.
     pub drain_grace: Span,
+    /// Longest time between two calls for the list while there is no watch.
+    pub ask_within: Span,
     /// Only an entry that says draining binds; one that is gone or left out may still be sent to.
     pub drain_binds_alone: bool,
     /// A worker starts at this share of its capacity or above.
@@ -516,6 +518,7 @@
             sized: false,
             max_hold_off: Span(0),
             drain_grace: Span::from_secs(1.0),
+            ask_within: Span::from_secs(10.0),
             drain_binds_alone: false,
             cold_from: 0.1,
             warm_after: Span::from_secs(30.0),
