Believe the errors a second that runners report, and use cold runners up to half their budget

From 10 to 15 s 23 % were refused while 36 runners had just been replaced: their first attempts came 2 to 8 s after the list had named them (listed 6.6 to 8.2 s, first attempts 8.6 to 19.1 s), and they got 2.5 attempts a second where at least 5 fit.

Measured before building: a failing runner reports 12 to 33 errors a second and 0 to 4 jobs in hand, a sound one exactly 0.0; an error comes after 1 to 16 ms, so the runner looks idle. The module did not read that figure, and a dispatcher with 4.5 requests a second learns alone for seconds. Cold: a third of the dispatchers has a cold runner at home and the others rarely need theirs, so of the 0.3 of its budget that was planned a third was used. Ruled out: late lists (each change reached 100 dispatchers within 0.2 s).

At fault: Balancer::reported (errors_per_s unread) and COLD_USE. Reported errors beyond a single one, beside what the jobs in hand will make, now raise a runner's share of failures at once; own answers lower it.

The debug log also tells starts, attempts given up, probes, calls for the list, connections and the errors that runners report, so that a fleet can be counted.

--- a/node/src/net/runners.rs
+++ b/node/src/net/runners.rs
@@ -443,6 +443,7 @@
         Box::pin(async move {
             let at = info.addrs().next().ok_or(TcpError::Unresolved)?;
             pool.make_room().map_err(TcpError::Io)?;
+            log::debug!("connection to {at}");
             let stream = TcpStream::connect(at).await.map_err(TcpError::Io)?;
             // The last of several small writes must not wait for the answer to the first.
             stream.set_nodelay(true).map_err(TcpError::Io)?;
--- a/node/src/runtime.rs
+++ b/node/src/runtime.rs
@@ -3,7 +3,7 @@
 //! who waits for which answer. It must never change the dispatcher's state except through
 //! [`Core::step`], nor speak a wire: that is for what stands in `net`.
 
-use crate::core::{Answer, AttemptId, Core, Effect, Input, Key, Tally, Ticket};
+use crate::core::{Answer, Arrival, AttemptId, Core, Effect, Input, Key, Tally, Ticket};
 use crate::figures::{ClassFigures, Counted, Figures};
 use crate::limits::Limits;
 use bytes::Bytes;
@@ -271,14 +271,18 @@
             tells_of_runners |= matches!(input, Input::List(..) | Input::Hand { .. });
             match &input {
                 Input::Arrived(arrival) => {
-                    log::debug!("request {} of class {}", arrival.id, arrival.job.class);
+                    let Arrival { id, job, ticket, .. } = arrival;
+                    log::debug!("request {id} of class {}, ticket {}", job.class, ticket.0);
                 }
                 Input::Ended(AttemptId { request, number }, ending) => {
                     log::debug!("attempt {request}.{number} ended: {:?}", ending.outcome);
                 }
                 Input::Told { id, from, ending } => {
-                    log::debug!("runner {from} ended {id}: {:?}", ending.outcome);
+                    let said = ending.report.unwrap_or_default();
+                    let (errors, inflight) = (said.errors_per_s, said.inflight);
+                    log::debug!(errors:?, inflight:?; "runner {from} ended {id}: {:?}", ending.outcome);
                 }
+                Input::Started { id, from } => log::debug!("runner {from} started {id}"),
                 _ => {}
             }
             let effects = self.core.borrow_mut().step(self.clock.now(), input);
@@ -333,20 +337,27 @@
                     self.feed(Input::Ended(attempt, ending));
                 }
             },
-            Effect::GiveUp(attempt) => self.links.borrow().iter().for_each(|link| link.give_up(attempt)),
+            Effect::GiveUp(attempt) => {
+                log::debug!("attempt {}.{} given up", attempt.request, attempt.number);
+                self.links.borrow().iter().for_each(|link| link.give_up(attempt));
+            }
             Effect::Over(attempt) => self.links.borrow().iter().for_each(|link| link.over(attempt)),
             Effect::Subscribe(at) | Effect::Fetch(at) => {
                 let roster = self.roster.borrow().clone();
+                log::debug!("call for the list at {at}");
                 match (roster, effect) {
                     (Some(roster), Effect::Subscribe(_)) => roster.subscribe(at),
                     (Some(roster), _) => roster.fetch(at),
                     (None, _) => {}
                 }
             }
-            Effect::Probe(runner) => match self.link_to(&runner) {
-                Some(link) => link.probe(&runner),
-                None => self.feed(Input::Probed { runner, ok: false, report: None }),
-            },
+            Effect::Probe(runner) => {
+                log::debug!("probe of {runner}");
+                match self.link_to(&runner) {
+                    Some(link) => link.probe(&runner),
+                    None => self.feed(Input::Probed { runner, ok: false, report: None }),
+                }
+            }
             Effect::Handed { call, result } => *self.handed.borrow_mut() = Some((call, result)),
             Effect::Release(runner) => {
                 if let Some(link) = self.link_to(&runner) {
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -17,8 +17,8 @@
 const KIND_WEIGHT: f64 = 4.0;
 /// Half-life of what a worker has shown of its pace (takes the place of the paper's m jobs).
 const PACE_HALF_LIFE: f64 = 6.0;
-/// Share of a cold worker's budget that all dispatchers together plan to use.
-const COLD_USE: f64 = 0.3;
+/// Share of a cold worker's budget that all dispatchers together plan to use; many have no request for theirs.
+const COLD_USE: f64 = 0.5;
 /// Wait before a suspect worker is tried again, in seconds.
 const TRIAL: f64 = 1.0;
 /// An entry without news for this long is probed where probes exist (the paper's psi), in seconds.
@@ -367,8 +367,7 @@
         self.list_backoff = 0.2;
     }
 
-    /// Asks again after a growing wait with full jitter that all dispatchers share, so that they neither call
-    /// in step nor keep discovery's line full of calls which end unanswered.
+    /// Asks again after a growing wait, shared by all: not in step, nor so often that all calls wait in vain.
     fn list_failed(&mut self) {
         if self.settings.discovery == Discovery::Asked && !self.subscribing {
             self.subscribing = true;
@@ -457,6 +456,11 @@
         if let Some(used) = used {
             self.see_others(i, used - running);
         }
+        // Errors a second, but for a single one, beside what is in hand: all dispatchers' losses, not own ones.
+        if let (Some(errors), Some(inflight)) = (report.errors_per_s, report.inflight) {
+            let share = (errors - 1.0) / (errors + inflight / self.mean_work).max(1.0);
+            self.book(i, 0, share.max(self.missed(i, 0)));
+        }
         if let Some(latency) = report.latency.map(Span::secs)
             && latency > 0.0
             && self.workers[i].latency != Some(latency)
@@ -779,10 +783,7 @@
 
     /// The one place that settles: refused for an objective if a repeat can do no harm, else failed.
     fn settle(&mut self, id: RequestId) {
-        let request = &self.requests[&id];
-        if request.settled {
-            return;
-        }
+        let Some(request) = self.requests.get(&id).filter(|request| !request.settled) else { return };
         let harmless = match self.settings.classes[request.class].effect {
             Effect::Safe | Effect::Keyed(Group::All) => true,
             _ => self.may_have_run(request).is_none(),
@@ -918,13 +919,17 @@
     fn miss(&mut self, i: usize, places: &[usize], missed: f64) {
         for place in places {
             let before = self.missed(i, *place);
-            self.workers[i].missed.resize(self.classes.len() + 1, (0.0, 0.0));
-            self.workers[i].missed[*place] = (before + 0.2 * (missed - before), self.at);
+            self.book(i, *place, before + 0.2 * (missed - before));
         }
         let used = (0..self.workers.len()).filter(|w| self.usable(*w));
         self.erring = used.map(|w| self.missed(w, 0)).fold(1.0, f64::min);
     }
 
+    fn book(&mut self, i: usize, place: usize, share: f64) {
+        self.workers[i].missed.resize(self.classes.len() + 1, (0.0, 0.0));
+        self.workers[i].missed[place] = (share, self.at);
+    }
+
     fn missed(&self, i: usize, place: usize) -> f64 {
         let known = self.workers[i].missed.get(place);
         known.map_or(0.0, |(share, at)| share * left(self.at - at, MISS_HALF_LIFE))
@@ -945,9 +950,7 @@
         attempt.ended = Some(outcome);
         let (i, sent, started, idle) = (attempt.worker, attempt.sent, attempt.started, attempt.idle);
         let due = self.start_due(i, idle, class);
-        if let Some(report) = report {
-            self.reported(i, report);
-        }
+        report.into_iter().for_each(|report| self.reported(i, report));
         let slowness = self.slowness(i);
         self.turned_away += 0.1 * (f64::from(u8::from(outcome == Outcome::Full)) - self.turned_away);
         if started.is_none() && outcome != Outcome::Moot {
@@ -1034,11 +1037,9 @@
     fn look_after(&mut self, id: RequestId, number: usize) {
         let request = &self.requests[&id];
         let (class, token) = (request.class, attempt_token(id, number));
-        let Some(attempt) = request.attempts.get(number) else { return };
+        let open = |a: &&Attempt| a.ended.is_none() && !a.cancelled;
+        let Some(attempt) = request.attempts.get(number).filter(open) else { return };
         let (i, started, progress) = (attempt.worker, attempt.started.is_some(), self.settings.progress);
-        if attempt.ended.is_some() || attempt.cancelled {
-            return;
-        }
         if started && progress.0 == 0 {
             return self.look_after_running(id, number);
         }
