Count what a worker fails of all classes together whole, now that its reports tell it

A report says 0.5 to 0.8 of a failing runner's answers are errors; times ALL_SHARE (0.7) that came below MISS_LIMIT within 0 to 2 s of each contact, and every one of 100 dispatchers tried it again. Lines at fault: Balancer::fails and ::avoids. The weight is gone; what one class alone fails is still told by its own share.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -37,8 +37,6 @@
 const MISS_HALF_LIFE: f64 = 10.0;
 /// Share of failures beyond which a worker is not ready for a class, or an error is the request's own.
 const MISS_LIMIT: f64 = 0.5;
-/// Weight of what a worker fails of all classes together: one class's failures are not the others'.
-const ALL_SHARE: f64 = 0.7;
 /// Share of its aim by which a hinted job must be expected to end where it is sent: hints and paces err.
 const IN_TIME: f64 = 0.9;
 /// Times its usual running time after which an attempt is overdue: where answers are lost, and elsewhere.
@@ -477,7 +475,7 @@
     pub fn avoids(&self, worker: WorkerId) -> bool {
         let i = worker.0 as usize;
         let known = self.workers.get(i);
-        known.is_some_and(|w| w.trial.is_some() || self.missed(i, 0) * ALL_SHARE - self.erring >= MISS_LIMIT)
+        known.is_some_and(|w| w.trial.is_some() || self.missed(i, 0) - self.erring >= MISS_LIMIT)
     }
 
     // ---- readiness, price and draw ----
@@ -938,7 +936,7 @@
     /// What a worker fails of a class beyond the errors of the best. Not beyond those met anywhere: whoever
     /// fails fast meets most requests, and would be the measure itself.
     fn fails(&self, i: usize, class: usize) -> f64 {
-        let missed = self.missed(i, class + 1).max(self.missed(i, 0) * ALL_SHARE);
+        let missed = self.missed(i, class + 1).max(self.missed(i, 0));
         (missed - self.erring).max(0.0) / (1.0 - self.erring).max(0.05)
     }
 
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -861,7 +861,7 @@
         let report = Report { errors_per_s, inflight, ..Report::default() };
         world.event(Event::Probed(WorkerId(n), true, Some(report)));
     };
-    tell(&mut world, 0, 20.0, 0.4);
+    tell(&mut world, 0, 20.0, 1.0);
     tell(&mut world, 1, 1.0, 0.0);
     let avoided = |world: &World| [0, 1, 2].map(|n| world.balancer.avoids(WorkerId(n)));
     assert_eq!(avoided(&world), [true, false, false]);
@@ -876,5 +876,6 @@
         assert!(!world.balancer.avoids(WorkerId(1)), "{figure}");
     }
     world.pass(ms(20_000));
+    world.arrive(20, 0);
     assert_eq!(avoided(&world), [false; 3]);
 }
