--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -3,6 +3,7 @@
 //! the truth about what ran where; it must never share code with the dispatcher, whose claims it tests,
 //! nor leave the loopback addresses.
 
+pub mod census;
 pub mod chart;
 pub mod clients;
 pub mod discovery;
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -2,6 +2,7 @@
 
 use clap::{Parser, Subcommand};
 use indicatif::{ProgressBar, ProgressStyle};
+use sablerun_lab::census::Census;
 use sablerun_lab::chart::Kept;
 use sablerun_lab::experiment::Experiment;
 use sablerun_lab::play::{Figures, Judged, judge, play};
@@ -15,6 +16,7 @@
   sablerun-lab check idempotency --switch-off keys     (must fail: the check can)
   sablerun-lab run experiments/idempotency.toml --out results/idempotency
   sablerun-lab chart results/idempotency
+  sablerun-lab count logs
 
 Exit codes: 0 all bounds hold, 1 one does not or it could not be played, 2 the command line makes no sense.";
 
@@ -50,6 +52,14 @@
         /// The folder.
         folder: PathBuf,
     },
+    /// Count what a fleet did, by second and by runner, from its dispatchers' debug logs.
+    Count {
+        /// The folder, with one NAME.log for each dispatcher.
+        folder: PathBuf,
+        /// Print one JSON object.
+        #[arg(long)]
+        json: bool,
+    },
 }
 
 #[derive(clap::Args)]
@@ -67,6 +77,7 @@
         Command::Run { file, out, how } => run(&file, out.as_deref(), &how).map(|()| true),
         Command::Check { name, how } => check(&name, &how),
         Command::Chart { folder } => Kept::read(&folder).and_then(|kept| kept.draw(&folder)).map(|()| true),
+        Command::Count { folder, json } => count(&folder, json).map(|()| true),
     };
     match done {
         Ok(true) => ExitCode::SUCCESS,
@@ -96,6 +107,15 @@
     figures
 }
 
+fn count(folder: &Path, json: bool) -> Result<(), String> {
+    let census = Census::read(folder)?;
+    match json {
+        true => println!("{}", serde_json::to_string(&census).map_err(|e| e.to_string())?),
+        false => print!("{}", census.table()),
+    }
+    Ok(())
+}
+
 fn table(figures: &Figures) {
     for (name, value) in &figures.values {
         println!("{name:<40} {value:>12.3}");
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -17,7 +17,7 @@
 const KIND_WEIGHT: f64 = 4.0;
 /// Half-life of what a worker has shown of its pace (takes the place of the paper's m jobs).
 const PACE_HALF_LIFE: f64 = 6.0;
-/// Share of a cold worker's budget that all dispatchers together plan to use; many have no request for theirs.
+/// Share of a cold worker's budget that all dispatchers together plan to use; many have no use for theirs.
 const COLD_USE: f64 = 0.5;
 /// Wait before a suspect worker is tried again, in seconds.
 const TRIAL: f64 = 1.0;
@@ -454,7 +454,7 @@
         if let Some(used) = used {
             self.see_others(i, used - running);
         }
-        // Errors a second, but for a single one, beside what is in hand: all dispatchers' losses, not own ones.
+        // Errors a second, but for a single one, beside what is in hand: the whole fleet's losses, not own.
         if let (Some(errors), Some(inflight)) = (report.errors_per_s, report.inflight) {
             let share = (errors - 1.0) / (errors + inflight / self.mean_work).max(1.0);
             self.book(i, 0, share.max(self.missed(i, 0)));
