Count by second and by runner in one step in the census; borrow runners' names from the log

Each arm wrote what it counted twice, once for the second and once for the runner, and kept a copy of every name.

--- a/lab/src/census.rs
+++ b/lab/src/census.rs
@@ -74,58 +74,53 @@
     fn add(&mut self, log: &str, start: f64) {
         // Where each attempt of this process went, and since when it waits for its first list.
         let (mut places, mut unlisted) = (HashMap::new(), None);
+        let (seconds, runners) = (&mut self.seconds, &mut self.runners);
+        let mut at_runner = |runner: &str, what: &str| {
+            *runners.entry(runner.to_owned()).or_default().entry(what.to_owned()).or_default() += 1;
+        };
         for (at, text) in log.lines().filter_map(parts) {
-            let second = self.seconds.entry((at - start).max(0.0) as u64).or_default();
-            let mut count = |what: &str| *second.entry(what.to_owned()).or_default() += 1;
+            let second = seconds.entry((at - start).max(0.0) as u64).or_default();
+            // Counts by second, and by runner where one is concerned.
+            let mut count = |what: &str, runner: Option<&str>| {
+                *second.entry(what.to_owned()).or_default() += 1;
+                runner.into_iter().for_each(|runner| at_runner(runner, what));
+            };
             let words: Vec<_> = text.split([' ', ':', ',']).filter(|word| !word.is_empty()).collect();
-            let mut runner = None;
             match words[..] {
                 [_, "ready", "on", ..] => {
                     self.starts += 1;
                     unlisted = Some(at);
                     places.clear();
-                    count("starts");
+                    count("starts", None);
                 }
-                ["request", _, "of", "class", class, ..] => count(&format!("asked {class}")),
-                ["ticket", _, answer, ..] if answer.starts_with("Refused") => count("refused"),
-                ["ticket", _, answer, ..] if answer.starts_with("Failed") => count("failed"),
-                ["attempt", attempt, "of", _, _, "at", at] => {
-                    places.insert(attempt.to_owned(), at.to_owned());
-                    count("attempts");
+                ["request", _, "of", "class", class, ..] => count(&format!("asked {class}"), None),
+                ["ticket", _, answer, ..] if answer.starts_with("Refused") => count("refused", None),
+                ["ticket", _, answer, ..] if answer.starts_with("Failed") => count("failed", None),
+                ["attempt", attempt, "of", _, _, "at", runner] => {
+                    places.insert(attempt, runner);
+                    count("attempts", Some(runner));
                     if !attempt.ends_with(".0") {
-                        count("attempts again");
+                        count("attempts again", None);
                     }
-                    runner = Some((at.to_owned(), "attempts".to_owned()));
-                }
-                ["attempt", attempt, "given", "up"] => {
-                    count("given up");
-                    runner = places.get(attempt).map(|at| (at.clone(), "given up".to_owned()));
                 }
+                ["attempt", attempt, "given", "up"] => count("given up", places.get(attempt).copied()),
                 ["attempt", attempt, "ended", outcome, ..] => {
-                    count(&format!("ended {outcome}"));
-                    runner = places.get(attempt).map(|at| (at.clone(), format!("ended {outcome}")));
+                    count(&format!("ended {outcome}"), places.get(attempt).copied());
                 }
-                ["runner", at, "ended", _, outcome, ..] => {
-                    count(&format!("ended {outcome}"));
-                    runner = Some((at.to_owned(), format!("ended {outcome}")));
+                ["runner", runner, "ended", _, outcome, ..] => {
+                    count(&format!("ended {outcome}"), Some(runner));
                 }
-                ["runner", at, "started", _] => runner = Some((at.to_owned(), "started".to_owned())),
-                ["probe", "of", at] => {
-                    count("probes");
-                    runner = Some((at.to_owned(), "probes".to_owned()));
-                }
-                ["connection", "to", ..] => count("connections"),
-                ["call", "for", "the", "list", ..] => count("list calls"),
-                ["discovery", "watch" | "call", "failed", ..] => count("list calls failed"),
+                ["runner", runner, "started", _] => at_runner(runner, "started"),
+                ["probe", "of", runner] => count("probes", Some(runner)),
+                ["connection", "to", ..] => count("connections", None),
+                ["call", "for", "the", "list", ..] => count("list calls", None),
+                ["discovery", "watch" | "call", "failed", ..] => count("list calls failed", None),
                 ["list", kind, ..] if kind != "Saved" => {
-                    count("lists");
+                    count("lists", None);
                     self.list_after_s.extend(unlisted.take().map(|since| at - since));
                 }
                 _ => {}
             }
-            if let Some((at, what)) = runner {
-                *self.runners.entry(at).or_default().entry(what).or_default() += 1;
-            }
         }
     }
 
