A silent watch is called for before its news counts as told; nothing is sent blindly

At fault: Limits::watch_silence (3.5 s of the 6 s) and Balancer::list_failed, which waits the same after a silence as after an outage. Ruled out: discovery's line (each call is answered within 5 ms, none fails), old connections, late lists.

A watch is silent after 2.5 s (an empty line is due every 2 s) and the module hears so apart from a failed call (Event::ListSilent): it calls within 0.4 of the time left, growing from failure to failure, and where nothing has come when the time is over it sends to nobody until a list comes. The silent watch is read on until the next one tells something, so a late line costs a call and no news. Objects of a watch are cut out by serde_json's stream, not at line ends: lists may come indented.

Tests: a_silent_watch_is_called_for_in_time_and_nothing_is_sent_blindly (1, 40 and 300 dispatchers), net::objects; the stand-in for discovery indents its changes.

--- a/lab/src/discovery.rs
+++ b/lab/src/discovery.rs
@@ -146,7 +146,9 @@
                 line = match tokio::time::timeout(QUIET, changes.recv()).await {
                     Err(_) => String::new(),
                     Ok(Ok(Change::Told(seq, hosts))) => {
-                        json!({"seq": seq, "whole": false, "hosts": hosts[dispatcher]}).to_string()
+                        // Indented, as lists may come.
+                        let change = json!({"seq": seq, "whole": false, "hosts": hosts[dispatcher]});
+                        format!("{change:#}")
                     }
                     Ok(Ok(Change::Broken) | Err(_)) => return Ok(()),
                 };
--- a/node/src/core.rs
+++ b/node/src/core.rs
@@ -143,6 +143,8 @@
     List(Source, sr::ListKind, Vec<Listed>),
     /// A call for the list failed or its watch broke.
     ListFailed,
+    /// Nothing comes over the watch any more, not even a sign of life.
+    ListSilent,
     /// New settings hold from now on.
     Retune(Box<Retune>),
     /// The list is to be asked for at this address from now on.
@@ -391,6 +393,7 @@
             }
             Input::List(source, kind, listed) => self.list(now, source, kind, listed),
             Input::ListFailed => self.tell(now, sr::Event::ListFailed),
+            Input::ListSilent => self.tell(now, sr::Event::ListSilent),
             Input::Retune(retune) => self.retune(now, *retune),
             Input::RosterAt(at) => {
                 // At once, and not when the module next asks: it waits for the old watch to fall silent.
--- a/node/src/limits.rs
+++ b/node/src/limits.rs
@@ -59,7 +59,7 @@
     pub give_up: Duration,
     /// Time for discovery to begin its answer.
     pub list: Duration,
-    /// Time without a line after which a watch counts as broken.
+    /// Time without a line after which a watch counts as silent.
     pub watch_silence: Duration,
     /// Longest line of a watch, in bytes.
     pub watch_line: usize,
@@ -129,7 +129,8 @@
             probe: Duration::from_millis(500),
             give_up: Duration::from_secs(1),
             list: Duration::from_secs(3),
-            watch_silence: Duration::from_millis(3500),
+            // An empty line comes every 2 s; what a silent watch misses counts as told 6 s after.
+            watch_silence: Duration::from_millis(2500),
             watch_line: 4 * 1024 * 1024,
             // Clients use the connections they have while those stay open; the rest of the time is for
             // the last jobs to be done.
@@ -164,5 +165,7 @@
         assert!(limits.idle <= Duration::from_secs(8));
         assert!(limits.open * limits.body <= 192 * 1024 * 1024 / 2);
         assert_eq!(Limits::new(sockets, 192, &test_env(), false).callers, 0);
+        let told = sablerun::Settings::default().told_within;
+        assert!(limits.watch_silence + Duration::from_nanos(told.0) <= Duration::from_secs(6));
     }
 }
--- a/node/src/net/discovery.rs
+++ b/node/src/net/discovery.rs
@@ -1,14 +1,15 @@
 //! Discovery: the watch on the list of runners and single calls for the whole of it. It owns the
 //! version that the dispatcher holds and the watch, turns hosts into the core's list, and tells the
 //! link where runners listen. It must never hold a change back, nor decide when or where to ask
-//! again: a watch that breaks or falls silent is reported, and the module asks.
+//! again: a watch that breaks or falls silent is reported, and the module asks. A silent one is read on
+//! until the next one tells something: it may only have been late.
 
 use crate::core::{Input, Listed, Source};
+use crate::net::objects::Objects;
 use crate::net::runners::{Pool, Runners};
 use crate::runtime::{Roster, Runtime};
 use awc::Client;
 use awc::http::StatusCode;
-use bytes::{Buf, BytesMut};
 use futures_util::StreamExt;
 use sablerun as sr;
 use std::cell::{Cell, RefCell};
@@ -55,9 +56,9 @@
     at: Cell<Option<SocketAddr>>,
     number: Cell<u64>,
     watch: RefCell<Option<AbortHandle>>,
-    /// The watch at the address before, until the new one tells something: what the old address still
-    /// tells binds too, and nothing may fall between the two.
-    before: RefCell<Option<AbortHandle>>,
+    /// Earlier watches that have not ended, until the new one tells something: what an old address still
+    /// tells binds too, a silent watch may only be late, and nothing may fall between the two.
+    before: RefCell<Vec<AbortHandle>>,
     this: Weak<Discovery>,
 }
 
@@ -123,18 +124,14 @@
         runtime.feed(Input::List(Source::Discovery, kind, listed));
     }
 
-    fn take_line(&self, line: &[u8], counts: bool) -> Result<(), String> {
-        if line.trim_ascii().is_empty() {
-            return Ok(());
-        }
-        let hosts: Hosts = serde_json::from_slice(line).map_err(|e| format!("a line can't be read: {e}"))?;
+    /// Takes what was told at an address.
+    fn take_from(&self, at: SocketAddr, hosts: Hosts) {
         let kind = if hosts.whole { sr::ListKind::Full } else { sr::ListKind::Delta };
-        match counts {
+        match self.at.get() == Some(at) {
             true => self.take(kind, hosts),
             // Its versions are another address's.
             false => self.list(kind, hosts),
         }
-        Ok(())
     }
 
     /// Reads the watch until it ends; says why it did.
@@ -148,21 +145,30 @@
         if response.status() != StatusCode::OK {
             return Err(format!("answered {}", response.status()));
         }
-        let mut lines = Lines::default();
+        let mut objects = Objects::new(limits.watch_line);
+        let mut silent = false;
         loop {
             // An empty line comes every 2 s: silence is a connection that nobody speaks on any more.
-            let chunk = tokio::time::timeout(limits.watch_silence, response.next()).await;
-            let Some(chunk) = chunk.map_err(|_| "silent")? else { return Err("ended".to_owned()) };
-            lines.extend(&chunk.map_err(|e| e.to_string())?);
-            while let Some(line) = lines.next() {
-                let counts = self.number.get() == number;
-                self.take_line(&line, counts)?;
-                if counts && let Some(before) = self.before.take() {
-                    before.abort();
+            let chunk = match tokio::time::timeout(limits.watch_silence, response.next()).await {
+                Err(_) if silent => return Err("still silent".to_owned()),
+                Err(_) => {
+                    silent = true;
+                    if self.number.get() == number {
+                        log::warn!("discovery: watch failed: silent");
+                        runtime.feed(Input::ListSilent);
+                    }
+                    continue;
+                }
+                Ok(None) => return Err("ended".to_owned()),
+                Ok(Some(chunk)) => chunk.map_err(|e| e.to_string())?,
+            };
+            silent = false;
+            objects.extend(&chunk);
+            while let Some(hosts) = objects.next()? {
+                self.take_from(at, hosts);
+                if self.number.get() == number {
+                    self.before.take().iter().for_each(AbortHandle::abort);
                 }
-            }
-            if lines.unfinished() > limits.watch_line {
-                return Err("a line is too long".to_owned());
             }
         }
     }
@@ -179,7 +185,9 @@
             response.body().limit(runtime.limits.watch_line).await.map_err(|e| e.to_string())
         };
         let body = tokio::time::timeout(runtime.limits.list, call).await.map_err(|_| "no answer")??;
-        self.take_line(&body, self.at.get() == Some(at))
+        let hosts = serde_json::from_slice(&body).map_err(|e| format!("the list can't be read: {e}"))?;
+        self.take_from(at, hosts);
+        Ok(())
     }
 
     fn failed(&self, what: &str, why: &str) {
@@ -210,10 +218,9 @@
             }
         });
         let last = self.watch.borrow_mut().replace(task.abort_handle());
-        let over = if moved { self.before.replace(last) } else { last };
-        if let Some(over) = over {
-            over.abort();
-        }
+        let mut before = self.before.borrow_mut();
+        before.extend(last);
+        before.retain(|watch| !watch.is_finished());
     }
 
     fn fetch(&self, at: SocketAddr) {
@@ -225,35 +232,3 @@
         });
     }
 }
-
-/// Lines out of chunks that end anywhere.
-#[derive(Default)]
-struct Lines {
-    bytes: BytesMut,
-    searched: usize,
-}
-
-impl Lines {
-    fn extend(&mut self, chunk: &[u8]) {
-        self.bytes.extend_from_slice(chunk);
-    }
-
-    fn next(&mut self) -> Option<BytesMut> {
-        match self.bytes[self.searched..].iter().position(|&b| b == b'\n') {
-            Some(at) => {
-                let line = self.bytes.split_to(self.searched + at);
-                self.bytes.advance(1);
-                self.searched = 0;
-                Some(line)
-            }
-            None => {
-                self.searched = self.bytes.len();
-                None
-            }
-        }
-    }
-
-    fn unfinished(&self) -> usize {
-        self.bytes.len()
-    }
-}
--- a/node/src/net/mod.rs
+++ b/node/src/net/mod.rs
@@ -6,6 +6,7 @@
 pub mod door;
 pub mod faktory;
 pub mod inherit;
+pub mod objects;
 pub mod peers;
 pub mod platform;
 pub mod runners;
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -347,6 +347,8 @@
             max_hold_off: sr::Span(if env.limits.retry_after { env.limits.max_retry_after } else { 0 }),
             drain_grace: sr::Span(env.rules.drain_grace),
             ask_within: env.rules.ask_within.map_or(sr::Settings::default().ask_within, sr::Span),
+            // A figure of the protocol, which no setting carries.
+            told_within: sr::Settings::default().told_within,
             drain_binds_alone: env.rules.drain_binds_alone,
             cold_from: env.rules.cold_from,
             warm_after: sr::Span(env.rules.warm_after),
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -223,6 +223,8 @@
     safe_idle: f64,
     list_backoff: f64,
     subscribing: bool,
+    /// The watch is silent: from then on what it can't tell counts as told, and nobody may be sent to.
+    blind: Option<Time>,
 }
 
 impl Balancer {
@@ -278,7 +280,7 @@
         self.event += 1;
         if self.event == 1 {
             // Calls for the list where it must be asked for, and begins to probe at a time of its own.
-            self.list_failed();
+            self.list_failed(false);
             if self.settings.probing {
                 let wait = Span::from_secs(STALE * self.chance());
                 self.out.push(Action::Timer(now + wait, HOUSEKEEPING));
@@ -287,7 +289,7 @@
         let pumps = !matches!(event, Event::Noted(..) | Event::Timer(0..PUMP));
         match event {
             Event::List(kind, entries) => self.list(kind, entries),
-            Event::ListFailed => self.list_failed(),
+            Event::ListFailed | Event::ListSilent => self.list_failed(event == Event::ListSilent),
             Event::Arrival(arrival) => self.arrive(arrival),
             Event::Closed(id) => self.close(id),
             Event::Extended(id, deadline) => self.watch_deadline(id, deadline),
@@ -362,14 +364,16 @@
             w.returned |= back;
             self.entries[i] = entry;
         }
-        self.list_backoff = 0.2;
+        (self.list_backoff, self.blind) = (0.2, None);
     }
 
     /// Asks again after a growing wait, shared by all: not in step, nor so often that all calls wait in vain.
-    fn list_failed(&mut self) {
+    fn list_failed(&mut self, silent: bool) {
+        self.blind = self.blind.or(silent.then_some(self.now + self.settings.told_within));
         if self.settings.discovery == Discovery::Asked && !self.subscribing {
             self.subscribing = true;
-            let most = self.settings.ask_within.secs().max(2.0);
+            let told = self.blind.map(|_| self.settings.told_within.secs() * 2.0 * self.list_backoff);
+            let most = told.unwrap_or(self.settings.ask_within.secs().max(2.0));
             let wait = (self.list_backoff * self.crowd()).min(most) * self.chance();
             self.list_backoff = (self.list_backoff * 2.0).min(2.0);
             self.out.push(Action::Timer(self.now + Span::from_secs(wait), SUBSCRIBE));
@@ -451,9 +455,7 @@
             (Some(_), Some(inflight)) => Some(inflight.max(room)),
             (_, inflight) => inflight,
         };
-        if let Some(used) = used {
-            self.see_others(i, used - running);
-        }
+        used.into_iter().for_each(|used| self.see_others(i, used - running));
         // Errors a second, but for a single one, beside what is in hand: the whole fleet's losses, not own.
         if let (Some(errors), Some(inflight)) = (report.errors_per_s, report.inflight) {
             let share = (errors - 1.0) / (errors + inflight / self.mean_work).max(1.0);
@@ -503,7 +505,8 @@
     /// Whether the list leaves the worker in use: draining binds always, gone only where the rules say so.
     fn usable(&self, i: usize) -> bool {
         let (standing, w) = (self.entries[i].standing, &self.workers[i]);
-        w.listed && !w.drained && (standing == Standing::Ready || self.settings.drain_binds_alone)
+        let sighted = self.blind.is_none_or(|told| self.now < told);
+        sighted && w.listed && !w.drained && (standing == Standing::Ready || self.settings.drain_binds_alone)
     }
 
     /// When the request's next attempt is within the budget that the rules state.
@@ -594,8 +597,7 @@
             + self.settings.prices.handshake * f64::from(u8::from(new));
         let transfer =
             self.workers[i].transfer + price * (class.objective.secs() + class.stretch * request.work);
-        let cost = ((v.queue + 1.0) * time + transfer) / (1.0 - self.fails(i, request.class)).max(0.05);
-        cost.max(FLOOR)
+        (((v.queue + 1.0) * time + transfer) / (1.0 - self.fails(i, request.class)).max(0.05)).max(FLOOR)
     }
 
     /// Draws a ready worker in proportion to `1 / C`.
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -216,6 +216,9 @@
     pub drain_grace: Span,
     /// Longest time between two calls for the list while there is no watch.
     pub ask_within: Span,
+    /// From [`Event::ListSilent`] on, the time after which what the watch can't tell counts as told: 6 s
+    /// after its last sign of life by the protocol, less the 2.5 s after which it counts as silent.
+    pub told_within: Span,
     /// Only an entry that says draining binds; one that is gone or left out may still be sent to.
     pub drain_binds_alone: bool,
     /// A worker starts at this share of its capacity or above.
@@ -436,6 +439,8 @@
     List(ListKind, Vec<ListEntry>),
     /// A call for the list failed, or the subscription broke.
     ListFailed,
+    /// The subscription has fallen silent: it stands, but news may be missed from its last sign of life on.
+    ListSilent,
     /// A request has arrived.
     Arrival(Arrival),
     /// The request is closed: its client has left.
@@ -519,6 +524,7 @@
             max_hold_off: Span(0),
             drain_grace: Span::from_secs(1.0),
             ask_within: Span::from_secs(10.0),
+            told_within: Span::from_secs(3.5),
             drain_binds_alone: false,
             cold_from: 0.1,
             warm_after: Span::from_secs(30.0),
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -184,6 +184,35 @@
     assert_eq!(world.sends().len(), 1);
 }
 
+/// A silent watch is begun anew before what it misses counts as told, in a fleet of any size; while it is not
+/// back by then, nobody is sent to, and once it is, all is as before.
+#[test]
+fn a_silent_watch_is_called_for_in_time_and_nothing_is_sent_blindly() {
+    for (dispatchers, seed) in (0..60).map(|n| ([1, 40, 300][n % 3], n as u64)) {
+        let number = seed as u32 % dispatchers;
+        let settings = Settings { discovery: Discovery::Asked, dispatchers, number, ..settings() };
+        let told = settings.told_within;
+        let mut world = World::new(settings, seed);
+        world.list(ListKind::Full, vec![worker(0)]);
+        world.pass(ms(10_000));
+        let calls = |w: &World| w.log.iter().filter(|(_, a)| *a == Action::Subscribe).count();
+        let (before, silent) = (calls(&world), world.now);
+        world.event(Event::ListSilent);
+        world.pass(Span(told.0 / 2));
+        assert!(calls(&world) > before, "of {dispatchers}: no call half way to the time that counts as told");
+        world.arrive(0, 0);
+        assert_eq!(world.sends().len(), 1, "until then the list holds");
+        serve(&mut world, ms(50));
+        world.event(Event::ListFailed);
+        world.pass(silent + told - world.now);
+        world.arrive(1, 0);
+        assert_eq!(world.sends().len(), 1, "of {dispatchers}: sent to what may have drained");
+        world.list(ListKind::Delta, Vec::new());
+        assert_eq!(world.sends().len(), 2, "the list is known again");
+        assert!(world.broken.is_empty(), "{:?}", world.broken);
+    }
+}
+
 /// Where crossing zones has a price, a free slot at home keeps the request at home.
 #[test]
 fn a_free_slot_at_home_comes_first() {
