--- a/src/balance.rs
+++ b/src/balance.rs
@@ -91,7 +91,6 @@
     /// Turns to send to it while cold, and when that was counted.
     turns: f64,
     turns_at: f64,
-    view: View,
     /// A list has named it; one has called it draining since its process last started.
     listed: bool,
     drained: bool,
@@ -99,16 +98,6 @@
     returned: bool,
 }
 
-/// What a draw needs to know of a worker, worked out once for each event and worker.
-#[derive(Clone, Copy, Default)]
-struct View {
-    /// The event that it was worked out for.
-    event: u64,
-    slowness: f64,
-    queue: f64,
-    warmth: f64,
-}
-
 /// What the workers of one machine kind in one zone show together: their room, pace and queues.
 struct Peers {
     key: (KindId, ZoneId),
@@ -180,8 +169,7 @@
 #[derive(Default)]
 pub struct Balancer {
     settings: Settings,
-    /// State of the random numbers.
-    seed: u64,
+    rng: fastrand::Rng,
     epoch: Time,
     /// The clock, when it last jumped, seconds since the start, number and actions so far of this event.
     now: Time,
@@ -236,7 +224,7 @@
     pub fn new(settings: Settings, seed: u64, now: Time) -> Result<Balancer, SettingsError> {
         settings.validate()?;
         let mut balancer = Balancer {
-            seed,
+            rng: fastrand::Rng::with_seed(seed),
             epoch: now,
             now,
             stalled: now,
@@ -266,13 +254,6 @@
         self.settings = settings;
     }
 
-    fn chance(&mut self) -> f64 {
-        let mut rng = fastrand::Rng::with_seed(self.seed);
-        let chance = rng.f64();
-        self.seed = rng.get_seed();
-        chance
-    }
-
     /// Takes one event and appends what is to be done.
     pub fn handle(&mut self, now: Time, event: Event, actions: &mut Vec<Action>) {
         self.stalled = if (now - self.now).secs() > STALL { now } else { self.stalled };
@@ -282,7 +263,7 @@
             // Calls for the list where it must be asked for, and begins to probe at a time of its own.
             self.list_failed(false);
             if self.settings.probing {
-                let wait = Span::from_secs(STALE * self.chance());
+                let wait = Span::from_secs(STALE * self.rng.f64());
                 self.out.push(Action::Timer(now + wait, HOUSEKEEPING));
             }
         }
@@ -374,7 +355,7 @@
             self.subscribing = true;
             let told = self.blind.map(|_| self.settings.told_within.secs() * 2.0 * self.list_backoff);
             let most = told.unwrap_or(self.settings.ask_within.secs().max(2.0));
-            let wait = (self.list_backoff * self.crowd()).min(most) * self.chance();
+            let wait = (self.list_backoff * self.crowd()).min(most) * self.rng.f64();
             self.list_backoff = (self.list_backoff * 2.0).min(2.0);
             self.out.push(Action::Timer(self.now + Span::from_secs(wait), SUBSCRIBE));
         }
@@ -554,26 +535,18 @@
         }
     }
 
-    fn view(&mut self, i: usize) -> View {
-        if self.workers[i].view.event != self.event {
-            let (slowness, queue, warmth) = (self.slowness(i), self.queue(i).max(0.0), self.warmth(i));
-            self.workers[i].view = View { event: self.event, slowness, queue, warmth };
-        }
-        self.workers[i].view
-    }
-
     /// Whether a worker would take the request at once, by belief.
-    fn ready(&self, request: &Request, i: usize, v: &View) -> bool {
+    fn ready(&self, request: &Request, i: usize, queue: f64, time: f64) -> bool {
         let safe = self.settings.classes[request.class].effect == Effect::Safe;
         let w = &self.workers[i];
         let left = 1.0 - request.yields * self.turned_away;
         let tried = w.trial.is_none_or(|trial| safe && self.at >= trial && w.load.waiting == 0);
         // Where a hint tells how long the job runs: not where it would end too late to be of use.
-        let done = self.at - request.came + request.work * v.slowness / v.warmth;
+        let done = self.at - request.came + time;
         tried
             && (request.hint == 0.0 || done <= request.aim * IN_TIME)
             && self.fails(i, request.class) < MISS_LIMIT
-            && v.queue + request.slots.ceil() <= self.peers(i).slots * left + 0.5
+            && queue + request.slots.ceil() <= self.peers(i).slots * left + 0.5
     }
 
     fn away(&self, i: usize) -> bool {
@@ -590,14 +563,13 @@
     }
 
     /// `C = (QL + 1) * PT + CD`, over the chance that the attempt succeeds.
-    fn price(&self, request: &Request, i: usize, v: &View, new: bool) -> f64 {
+    fn price(&self, request: &Request, i: usize, queue: f64, time: f64, new: bool) -> f64 {
         let class = &self.settings.classes[request.class];
-        let time = request.work * v.slowness / v.warmth;
         let price = self.settings.prices.cross_zone * f64::from(u8::from(self.away(i)))
             + self.settings.prices.handshake * f64::from(u8::from(new));
         let transfer =
             self.workers[i].transfer + price * (class.objective.secs() + class.stretch * request.work);
-        (((v.queue + 1.0) * time + transfer) / (1.0 - self.fails(i, request.class)).max(0.05)).max(FLOOR)
+        (((queue + 1.0) * time + transfer) / (1.0 - self.fails(i, request.class)).max(0.05)).max(FLOOR)
     }
 
     /// Draws a ready worker in proportion to `1 / C`.
@@ -615,17 +587,17 @@
             if extra > least || Some(i) == avoid || !self.allowed(&request, i) {
                 continue;
             }
-            let view = self.view(i);
-            if self.ready(&request, i, &view) {
+            let (queue, time) = (self.queue(i).max(0.0), request.work * self.slowness(i) / self.warmth(i));
+            if self.ready(&request, i, queue, time) {
                 if extra < least {
                     candidates.clear();
                     (least, total) = (extra, 0.0);
                 }
-                total += 1.0 / self.price(&request, i, &view, extra.1);
+                total += 1.0 / self.price(&request, i, queue, time, extra.1);
                 candidates.push((i, total));
             }
         }
-        let point = self.chance() * total;
+        let point = self.rng.f64() * total;
         let chosen = candidates.iter().find(|c| point < c.1).or(candidates.last()).map(|c| c.0);
         self.requests.insert(id, request);
         chosen
@@ -750,7 +722,7 @@
             idle = 0.0;
         }
         (w.turns, w.turns_at) = (turns - request.work * request.slots / self.mean_work, self.at);
-        (w.view.event, w.returned) = (0, false);
+        w.returned = false;
         w.load.own += request.slots;
         w.load.waiting += 1;
         w.trial = w.trial.map(|_| self.at + TRIAL);
