--- /dev/null
+++ b/src/balance/list.rs
@@ -0,0 +1,89 @@
+//! The list of workers: who is on it, who may be used by it, when it is called for anew and who is probed.
+
+use super::*;
+
+/// Slots a machine kind is taken to have until it shows otherwise.
+const SLOTS_PRIOR: f64 = 5.0;
+/// Dispatchers that may probe a worker as often as that, or call discovery after the first backoff.
+const CROWD: f64 = 8.0;
+
+impl Balancer {
+    pub(super) fn list(&mut self, kind: ListKind, entries: Vec<ListEntry>) {
+        let alone = self.settings.drain_binds_alone;
+        let full = kind != ListKind::Delta;
+        let missing = |old: &&mut ListEntry| full && !entries.iter().any(|e| e.worker == old.worker);
+        self.entries.iter_mut().filter(missing).for_each(|old| old.standing = Standing::Gone);
+        for mut entry in entries {
+            let i = entry.worker.0 as usize;
+            for n in self.workers.len()..=i {
+                let worker = WorkerId(n as u32);
+                self.entries.push(ListEntry { worker, standing: Standing::Gone, ..entry.clone() });
+                self.workers.push(Worker::default());
+            }
+            let key = (entry.kind, entry.zone);
+            let group = self.peers.iter().position(|p| p.key == key).unwrap_or(self.peers.len());
+            if group == self.peers.len() {
+                let (slots, seen_at, ways) = (SLOTS_PRIOR, self.at, [0.03; 2]);
+                self.peers.push(Peers { key, ways, slots, shown: 0.0, took: 0.0, others: 0.0, seen_at });
+            }
+            // Where gone does not bind, a list may be old: a drain once seen holds until a later start.
+            let (old, listed) = (&self.entries[i], self.workers[i].listed);
+            let other = entry.up_since != old.up_since || old.standing == Standing::Gone;
+            let later = if alone { entry.up_since > old.up_since } else { other };
+            entry.up_since = entry.up_since.max(old.up_since.filter(|_| alone && listed));
+            let held = alone && !later && self.workers[i].drained;
+            let back = self.workers[i].drained && !held && entry.standing == Standing::Ready;
+            if later || !listed {
+                // A new process: nothing that the old one showed holds. What is out there still counts.
+                let age = entry.up_since.map_or(0.0, |up| (self.now - up).secs());
+                let place = f64::from(self.settings.number) / f64::from(self.settings.dispatchers);
+                let w = &mut self.workers[i];
+                let (load, transfer, now) = (w.load, w.transfer, self.at);
+                *w = Worker { load, transfer, group, heard: now, others_at: now, ..Worker::default() };
+                (w.turns, w.turns_at) = ((place + 0.618 * i as f64).fract(), now - age);
+            }
+            let w = &mut self.workers[i];
+            (w.listed, w.drained) = (true, held || entry.standing == Standing::Draining);
+            w.returned |= back;
+            self.entries[i] = entry;
+        }
+        (self.list_backoff, self.blind) = (0.2, None);
+    }
+
+    /// Asks again after a growing wait, shared by all: not in step, nor so often that all calls wait in vain.
+    pub(super) fn list_failed(&mut self, silent: bool) {
+        self.blind = self.blind.or(silent.then_some(self.now + self.settings.told_within));
+        if self.settings.discovery == Discovery::Asked && !self.subscribing {
+            self.subscribing = true;
+            let told = self.blind.map(|_| self.settings.told_within.secs() * 2.0 * self.list_backoff);
+            let most = told.unwrap_or(self.settings.ask_within.secs().max(2.0));
+            let wait = (self.list_backoff * self.crowd()).min(most) * self.rng.f64();
+            self.list_backoff = (self.list_backoff * 2.0).min(2.0);
+            self.out.push(Action::Timer(self.now + Span::from_secs(wait), SUBSCRIBE));
+        }
+    }
+
+    /// How many times more dispatchers there are than may do a thing as often as one alone.
+    fn crowd(&self) -> f64 {
+        (f64::from(self.settings.dispatchers) / CROWD).max(1.0)
+    }
+
+    /// Probes entries without news, so often that many dispatchers probe a worker no more than `CROWD`.
+    pub(super) fn housekeeping(&mut self) {
+        let psi = STALE * self.crowd();
+        for (entry, w) in self.entries.iter().zip(&mut self.workers) {
+            if w.listed && !w.drained && entry.standing == Standing::Ready && self.at - w.reported_at > psi {
+                w.reported_at = self.at;
+                self.out.push(Action::Probe(entry.worker));
+            }
+        }
+        self.out.push(Action::Timer(self.now + Span::from_secs(psi / 4.0), HOUSEKEEPING));
+    }
+
+    /// Whether the list leaves the worker in use: draining binds always, gone only where the rules say so.
+    pub(super) fn usable(&self, i: usize) -> bool {
+        let (standing, w) = (self.entries[i].standing, &self.workers[i]);
+        let sighted = self.blind.is_none_or(|told| self.now < told);
+        sighted && w.listed && !w.drained && (standing == Standing::Ready || self.settings.drain_binds_alone)
+    }
+}
