Measure a share by the mix of tenants, take a repeated report for no news, keep a slot free

The mix of tenants is the same at all dispatchers. At fault: retune, quota / dispatchers; and a client's retry took a token of a first try. - Reports are renewed every 0.3 to 1.5 s and come up to 0.4 s late, while answers come every 10 to 30 ms: one report came with up to 20 answers, and each time reported() took it for a new sight of the others' queue. So a worker seen full stayed full for 1.3 s after it had emptied (half of the fleet was idle while 45 % was refused), and one seen empty was flooded by all. - What was beyond a share took the last free slot, which is held for 0.2 s and more.

The part of the fleet's traffic that comes to a dispatcher is read off the mix: the middle tenant's use of its share, times 1.5, is the whole share here (alone, a dispatcher takes the shares as stated); retries take no token. A report equal to the one before is passed over. Work beyond a share leaves one slot free.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -24,7 +24,7 @@
 const STALE: f64 = 2.0;
 /// Share of the objective that an attempt may wait for its start before it is moved.
 const PATIENCE: f64 = 0.25;
-/// Half-life of what was missed of a class at a worker, in seconds.
+/// Half-life of what was missed of a class at a worker, and of what tenants used, in seconds.
 const MISS_HALF_LIFE: f64 = 10.0;
 /// Share of failures beyond which a worker is not ready for a class, or an error is the request's own.
 const MISS_LIMIT: f64 = 0.5;
@@ -51,8 +51,8 @@
     workers: Vec<Worker>,
     peers: Vec<Peers>,
     classes: Vec<ClassStat>,
-    /// Each tenant's rate here within its share, the requests it may still make, and when that was counted.
-    tenants: Vec<(f64, f64, f64)>,
+    /// Each tenant's share a second, requests it may still make here, the part of its share used here, and when.
+    tenants: Vec<(f64, f64, f64, f64)>,
     requests: HashMap<RequestId, Request>,
     /// Requests held, in the order in which they are served: within share first, then by rank.
     held: BTreeSet<(bool, u64, RequestId)>,
@@ -111,9 +111,9 @@
     fn retune(&mut self, mut settings: Settings) {
         settings.classes.extend(self.settings.classes.iter().skip(settings.classes.len()).cloned());
         for (t, tenant) in settings.tenants.iter().enumerate() {
-            let rate = tenant.quota_per_s * (1.0 / f64::from(settings.dispatchers));
-            self.tenants.resize(self.tenants.len().max(t + 1), (rate, rate, self.at));
-            self.tenants[t].0 = rate;
+            let (quota, part) = (tenant.quota_per_s, 1.0 / f64::from(settings.dispatchers));
+            self.tenants.resize(self.tenants.len().max(t + 1), (quota, quota * part, part, self.at));
+            self.tenants[t].0 = quota;
         }
         for class in settings.classes.iter().skip(self.classes.len()) {
             self.classes.push(ClassStat { mean: (class.objective.secs().max(1e-3), 1.0), longest: 0.0 });
--- a/src/balance/ledger.rs
+++ b/src/balance/ledger.rs
@@ -60,6 +60,9 @@
 
     pub(super) fn reported(&mut self, i: usize, report: Report) {
         self.workers[i].reported_at = self.at;
+        if std::mem::replace(&mut self.workers[i].report, report) == report {
+            return;
+        }
         let (running, peers) = (self.workers[i].load.running, &mut self.peers[self.workers[i].group]);
         let room = peers.slots;
         peers.slots = room.max(report.free_slots.map_or(0.0, f64::round));
@@ -74,11 +77,7 @@
             let share = (errors - 1.0) / (errors + inflight / self.mean_work).max(1.0);
             self.book(i, 0, share.max(self.missed(i, 0)));
         }
-        if let Some(latency) = report.latency.map(Span::secs)
-            && latency > 0.0
-            && self.workers[i].latency != Some(latency)
-        {
-            self.workers[i].latency = Some(latency);
+        if let Some(latency) = report.latency.map(Span::secs).filter(|latency| *latency > 0.0) {
             let mean = latency / self.slowness(i);
             let gain = if self.base_latency == 0.0 { 1.0 } else { 0.05 };
             self.base_latency += gain * (mean - self.base_latency);
@@ -120,8 +119,7 @@
         known.map_or(0.0, |(share, at)| share * left(self.at - at, MISS_HALF_LIFE))
     }
 
-    /// What a worker fails of a class beyond the errors of the best. Not beyond those met anywhere: whoever
-    /// fails fast meets most requests, and would be the measure itself.
+    /// What a worker fails of a class beyond the errors of the best: whoever fails fast meets most requests.
     pub(super) fn fails(&self, i: usize, class: usize) -> f64 {
         let missed = self.missed(i, class + 1).max(self.missed(i, 0));
         (missed - self.erring).max(0.0) / (1.0 - self.erring).max(0.05)
@@ -141,10 +139,8 @@
     /// Takes an attempt that has ended, or is believed to have, off its worker's load.
     pub(super) fn unload(&mut self, id: RequestId, number: usize) {
         let request = &self.requests[&id];
-        let (slots, work, attempt) = (request.slots, request.work, &request.attempts[number]);
-        if attempt.lost {
-            return;
-        }
+        let Some(attempt) = request.attempts.get(number).filter(|a| !a.lost) else { return };
+        let (slots, work) = (request.slots, request.work);
         let load = &mut self.workers[attempt.worker].load;
         load.own = (load.own - slots).max(0.0);
         let Some(start) = attempt.started else {
@@ -154,8 +150,5 @@
         load.running = (load.running - slots).max(0.0);
         load.rate -= 1.0 / work;
         load.rate_start -= (start - self.epoch).secs() / work;
-        if load.running == 0.0 {
-            (load.rate, load.rate_start) = (0.0, 0.0);
-        }
     }
 }
--- a/src/balance/line.rs
+++ b/src/balance/line.rs
@@ -4,6 +4,8 @@
 
 /// Share of a mean job's stretch that a held request may wait through: later starts mostly end late.
 const SLACK_USED: f64 = 0.3;
+/// How much more than the middle tenant's use of its share is taken for a whole share (1.25 and 2 were tried).
+const USE_SLACK: f64 = 1.5;
 
 impl Balancer {
     pub(super) fn arrive(&mut self, arrival: Arrival) {
@@ -12,7 +14,7 @@
         if c >= self.classes.len() || self.requests.contains_key(&id) {
             return;
         }
-        let over_share = tenant.is_some_and(|t| self.over_share(t.0 as usize));
+        let over_share = tenant.is_some_and(|t| self.over_share(t.0 as usize, arrival.retry));
         let (settings, stat) = (&self.settings.classes[c], &mut self.classes[c]);
         // A later try carries the first one's deadline: what is missing is its age, but not over two thirds.
         let window = (deadline - self.now).secs();
@@ -28,8 +30,7 @@
             (self.now + Span::from_secs((slack - age).max(0.0))).min(deadline)
         };
         let latest = start_by(SLACK_USED);
-        // Where misses are weighed, a refusal within the aim is none. Unsafe work, which could only fail,
-        // waits on. Guards against full workers that run what is late; could do harm where clients retry.
+        // Where misses are weighed, a refusal within the aim is none. Unsafe work, which could only fail, waits on.
         let withdraw = match settings.effect {
             _ if self.settings.tail.weight > 0.0 => latest,
             Effect::Unsafe => deadline,
@@ -60,12 +61,23 @@
         self.out.push(Action::Timer((deadline - margin).max(self.now), u64::from(id.0) << 8));
     }
 
-    /// Whether the tenant's requests here exceed its share of what this dispatcher carries.
-    fn over_share(&mut self, t: usize) -> bool {
-        let Some((rate, tokens, at)) = self.tenants.get_mut(t) else { return false };
-        (*tokens, *at) = ((*tokens + *rate * (self.at - *at)).min(*rate * 2.0), self.at);
+    /// Whether the tenant's requests exceed its share of what comes here. Which part of the fleet's traffic
+    /// that is shows in the mix: the middle tenant, most likely within its share, uses most of that part.
+    fn over_share(&mut self, t: usize, retry: bool) -> bool {
+        let now = self.at;
+        let uses = self.tenants.iter().filter(|(quota, ..)| *quota > 0.0);
+        let mut parts: Vec<f64> = uses.map(|(.., used, at)| used * left(now - at, MISS_HALF_LIFE)).collect();
+        parts.sort_by(f64::total_cmp);
+        let middle = parts.get(parts.len().saturating_sub(1) / 2).map_or(0.0, |part| part * USE_SLACK);
+        let part = if self.settings.dispatchers == 1 { 1.0 } else { middle };
+        let Some((quota, tokens, used, at)) = self.tenants.get_mut(t) else { return false };
+        *tokens = (*tokens + *quota * part * (now - *at)).min((*quota * part * 2.0).max(1.0));
+        (*used, *at) = (*used * left(now - *at, MISS_HALF_LIFE), now);
         let over = *tokens < 1.0;
-        *tokens -= f64::from(u8::from(!over));
+        if !retry && *quota > 0.0 {
+            *tokens -= f64::from(u8::from(!over));
+            *used += std::f64::consts::LN_2 / MISS_HALF_LIFE / *quota;
+        }
         over
     }
 
--- a/src/balance/outcomes.rs
+++ b/src/balance/outcomes.rs
@@ -21,8 +21,7 @@
             w.load.rate_start += self.at / work;
             let way = &mut self.peers[w.group].ways[usize::from(idle == 0.0)];
             *way += if delay < *way { 0.3 } else { 0.03 } * (delay.min(*way * 3.0) - *way);
-            // Room is what may be believed to be at a worker while starts come at once. Guards against slots
-            // that lie idle because they come free unseen; could do harm where peers differ in slots.
+            // Room is what may be believed to be there while starts come at once: slots come free unseen.
             let (room, prompt) = (self.peers(i).slots, delay <= due);
             let objective = self.settings.classes[class].objective.secs();
             self.start_seen(i, delay <= due + objective * PATIENCE);
@@ -66,7 +65,9 @@
             Outcome::Ok => {
                 self.losing -= 0.02 * self.losing;
                 let total = (self.now - sent).secs();
-                let ran = started.map_or(w.latency.unwrap_or(total).min(total), |at| (self.now - at).secs());
+                let ran = started.map_or(w.report.latency.map_or(total, Span::secs).min(total), |at| {
+                    (self.now - at).secs()
+                });
                 w.transfer += 0.1 * (total - ran - w.transfer);
                 self.miss(i, &[0, class + 1], 0.0);
                 learn(&mut self.classes[class].mean, ran / slowness, 1e-4);
--- a/src/balance/price.rs
+++ b/src/balance/price.rs
@@ -20,9 +20,8 @@
         (self.settings.cold_from + rise).min(1.0)
     }
 
-    /// Turns to send a cold worker a mean job: as many a second as fit in its budget, one dispatcher after
-    /// the other. One not used while the budget's window lasts is lost. Guards against the herd on a worker
-    /// that starts; could do harm where few dispatchers carry most of the traffic.
+    /// Turns to send a cold worker a mean job, as many a second as fit in its budget, one dispatcher after
+    /// the other; one not used in time is lost. Could do harm where few carry most of the traffic.
     pub(super) fn cold_turns(&self, i: usize) -> f64 {
         let w = &self.workers[i];
         let capacity = self.peers(i).slots / self.slowness(i) * self.warmth(i) / self.mean_work;
@@ -36,14 +35,15 @@
     fn ready(&self, request: &Request, i: usize, queue: f64, time: f64) -> bool {
         let safe = self.settings.classes[request.class].effect == Effect::Safe;
         let w = &self.workers[i];
-        let left = 1.0 - request.yields * self.turned_away;
+        // Work beyond a share leaves a slot free for what may come within one.
+        let (left, kept) = (1.0 - request.yields * self.turned_away, u8::from(request.over_share));
         let tried = w.trial.is_none_or(|trial| safe && self.at >= trial && w.load.waiting == 0);
         // Where a hint tells how long the job runs: not where it would end too late to be of use.
         let done = self.at - request.came + time;
         tried
             && (request.hint == 0.0 || done <= request.aim * IN_TIME)
             && self.fails(i, request.class) < MISS_LIMIT
-            && queue + request.slots.ceil() <= self.peers(i).slots * left + 0.5
+            && queue + request.slots.ceil() + f64::from(kept) <= self.peers(i).slots * left + 0.5
     }
 
     pub(super) fn away(&self, i: usize) -> bool {
@@ -61,11 +61,9 @@
 
     /// `C = (QL + 1) * PT + CD`, over the chance that the attempt succeeds.
     fn price(&self, request: &Request, i: usize, queue: f64, time: f64, new: bool) -> f64 {
-        let class = &self.settings.classes[request.class];
         let price = self.settings.prices.cross_zone * f64::from(u8::from(self.away(i)))
             + self.settings.prices.handshake * f64::from(u8::from(new));
-        let transfer =
-            self.workers[i].transfer + price * (class.objective.secs() + class.stretch * request.work);
+        let transfer = self.workers[i].transfer + price * request.aim;
         (((queue + 1.0) * time + transfer) / (1.0 - self.fails(i, request.class)).max(0.05)).max(FLOOR)
     }
 
@@ -73,8 +71,7 @@
     pub(super) fn draw(&mut self, id: RequestId, avoid: Option<usize>) -> Option<usize> {
         let request = self.requests.remove(&id)?;
         let (mut candidates, mut total) = (Vec::new(), 0.0);
-        // Where crossing zones or a new connection has a price, a ready worker that costs neither leaves
-        // the others out of the draw: home comes first, then an open connection.
+        // Where crossing or a new connection has a price: home comes first, then an open connection.
         let mut least = (true, true);
         for i in 0..self.workers.len() {
             // Whoever was put back gets one request soon, and whoever erred with this one is asked last.
--- a/src/balance/state.rs
+++ b/src/balance/state.rs
@@ -28,7 +28,8 @@
     pub(super) shown: f64,
     pub(super) took: f64,
     pub(super) shown_at: f64,
-    pub(super) latency: Option<f64>,
+    /// What it last reported: what comes again with later answers is no news.
+    pub(super) report: Report,
     pub(super) reported_at: f64,
     /// Way there and back beyond the job itself (CD).
     pub(super) transfer: f64,
