--- a/src/balance/line.rs
+++ b/src/balance/line.rs
@@ -4,7 +4,7 @@
 
 /// Share of a mean job's stretch that a held request may wait through: later starts mostly end late.
 const SLACK_USED: f64 = 0.3;
-/// How much more than the middle tenant's use of its share is taken for a whole share (1.25 and 2 were tried).
+/// Times the middle tenant's use of its share that are taken for a whole one (1.25 and 2 were tried).
 const USE_SLACK: f64 = 1.5;
 
 impl Balancer {
