--- a/src/balance/line.rs
+++ b/src/balance/line.rs
@@ -30,7 +30,7 @@
             (self.now + Span::from_secs((slack - age).max(0.0))).min(deadline)
         };
         let latest = start_by(SLACK_USED);
-        // Where misses are weighed, a refusal within the aim is none. Unsafe work, which could only fail, waits on.
+        // Where misses are weighed, a refusal in time is none. Unsafe work, which could only fail, waits on.
         let withdraw = match settings.effect {
             _ if self.settings.tail.weight > 0.0 => latest,
             Effect::Unsafe => deadline,
