--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -2,7 +2,9 @@
 //! end. It owns the order of starting and stopping and must never decide or translate anything.
 
 mod bans;
+mod by_hand;
 mod cli;
+mod config;
 mod core;
 mod figures;
 mod jobs_cli;
@@ -13,11 +15,11 @@
 mod runtime;
 mod snapshots;
 
+use crate::by_hand::{carry_out, follow_bans};
 use crate::cli::{Cli, Command};
+use crate::config::{Config, read_config, reload};
 use crate::core::{Core, Input};
 use crate::limits::Limits;
-use crate::net::callbacks::{self, CallBack};
-use crate::net::door::{Ask, Asked};
 use crate::net::faktory::Faktory;
 use crate::net::{discovery, platform, runners};
 use crate::operator::Operator;
@@ -25,38 +27,11 @@
 use clap::Parser;
 use sablerun as sr;
 use sablerun_keys as keys;
-use sablerun_settings::Env;
 use serde_json::Value;
-use std::net::SocketAddr;
-use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::signal::unix::{SignalKind, signal};
-use tokio::sync::mpsc::UnboundedReceiver;
-
-/// What `$NODE_CONFIG` holds.
-#[derive(serde::Deserialize)]
-struct Config {
-    name: String,
-    listen: SocketAddr,
-    discovery: SocketAddr,
-    seed: String,
-    limits: Machine,
-    #[serde(default)]
-    known: Option<discovery::Hosts>,
-    /// The operators' door, where there is one; `$NODE_ADMIN_ADDR` stands before it.
-    #[serde(default)]
-    admin_addr: Option<SocketAddr>,
-    settings: Env,
-}
-
-/// The machine's limits.
-#[derive(serde::Deserialize)]
-struct Machine {
-    memory_mb: usize,
-    sockets: usize,
-}
 
 fn main() -> ExitCode {
     let cli = Cli::parse();
@@ -102,63 +77,6 @@
     cli::check(operator.as_ref().map(|(path, operator)| (*path, operator)), args.json)
 }
 
-/// What `$NODE_CONFIG` holds, and as it stands there.
-fn read_config() -> Result<(Config, Value), String> {
-    let path = std::env::var("NODE_CONFIG").map_err(|_| "NODE_CONFIG is not set".to_owned())?;
-    let text = std::fs::read_to_string(&path).map_err(|e| format!("NODE_CONFIG: {path}: {e}"))?;
-    let mut json = serde_json::Deserializer::from_str(&text);
-    let config: Config = serde_path_to_error::deserialize(&mut json)
-        .map_err(|e| format!("NODE_CONFIG: {}: {}", e.path(), e.inner()))?;
-    let text = serde_json::from_str(&text).map_err(|e| format!("NODE_CONFIG: {e}"))?;
-    Ok((config, text))
-}
-
-/// What of the configuration holds from the start to the end, as JSON pointers.
-const READ_AT_START: [&str; 6] = [
-    "/name",
-    "/listen",
-    "/limits",
-    "/settings/limits/connIdle",
-    "/settings/limits/connectTimeout",
-    "/settings/limits/maxOpen",
-];
-
-/// Reads the configuration anew: discovery may have moved, and new settings hold from now on. A file
-/// that makes no sense, or is half written, changes nothing.
-fn reload(runtime: &Runtime, text: &mut Value, kept: Option<&operator::Keys>) {
-    let read = read_config().and_then(|(config, text)| match config.settings.settle() {
-        Ok(settled) => Ok((config, text, settled)),
-        Err(e) => Err(format!("NODE_CONFIG: settings: {e}")),
-    });
-    match read {
-        Ok((config, new, (settings, tables))) => {
-            figures::Figures::add(&runtime.figures.conf_loaded);
-            log::info!("configuration read anew, discovery at {}", config.discovery);
-            for key in READ_AT_START {
-                if new.pointer(key) != text.pointer(key) {
-                    let key = key.trim_start_matches('/').replace('/', ".");
-                    log::warn!("NODE_CONFIG: {key}: has changed, which takes effect at the next start");
-                }
-            }
-            if new["settings"] != text["settings"] {
-                let rules = kept.map_or_else(Vec::new, |kept| kept.rules(&settings.classes));
-                let until = runtime.clock.now() + sr::Span(runtime.limits.vanished.as_nanos() as u64);
-                let (classes, attempts) = (tables.classes.all().join(","), settings.max_attempts);
-                let retune = crate::core::Retune { settings, tables, rules, until };
-                runtime.feed(Input::Retune(Box::new(retune)));
-                runtime.show_classes();
-                log::info!(classes = classes.as_str(), attempts = attempts; "new settings are in use");
-            }
-            *text = new;
-            runtime.feed(Input::RosterAt(config.discovery));
-        }
-        Err(e) => {
-            figures::Figures::add(&runtime.figures.conf_invalid);
-            log::error!("configuration not read anew, the old one stays: {e}");
-        }
-    }
-}
-
 async fn run(config: Config, mut text: Value, operator: Operator) -> Result<(), String> {
     let (settings, tables) = config.settings.settle().map_err(|e| format!("NODE_CONFIG: settings: {e}"))?;
     let seed = u64::from_str_radix(&config.seed, 16).map_err(|e| format!("NODE_CONFIG: seed: {e}"))?;
@@ -174,7 +92,7 @@
     let clock = Clock::new();
     let store = limits.keys.zip(rules).map(|(bounds, rules)| keys::Store::new(bounds, rules));
     let place = snapshot_file.as_ref().map(snapshots::Place::take).transpose()?;
-    let store = store.map(|store| remember(store, &doubts, &tables, place.as_ref(), clock.now()));
+    let store = store.map(|store| snapshots::remember(store, &doubts, &tables, place.as_ref(), clock.now()));
     let mut core = Core::new(settings, tables, config.discovery, seed, clock.now(), limits.open)
         .map_err(|e| format!("NODE_CONFIG: settings: {e}"))?;
     if let Some(store) = store {
@@ -323,83 +241,3 @@
     log::info!("ends: {}", runtime.summary());
     Ok(())
 }
-
-/// Carries out what callers at the door ask of the serving thread, one after the other.
-async fn carry_out(runtime: Rc<Runtime>, mut asked: UnboundedReceiver<Asked>, bans: PathBuf) {
-    while let Some(Asked { ask, reply }) = asked.recv().await {
-        let done = match ask {
-            Ask::Hand { runner, out } => by_hand(&runtime, &runner, out, &bans),
-            Ask::Told(call_back) => told(&runtime, &call_back),
-        };
-        // Fails only if the caller was answered already: its time was over.
-        let _ = reply.send(done);
-    }
-}
-
-/// Takes a runner out by hand, or puts it back. The yes is given once the ban is on disk, where a successor
-/// finds it.
-fn by_hand(runtime: &Runtime, runner: &str, out: bool, file: &Path) -> Result<(), String> {
-    // What the other process of an upgrade has kept since the last look stays kept.
-    follow_bans(runtime, file);
-    let word = if out { "taken out" } else { "put back" };
-    if let Err(why) = runtime.hand(runner.to_owned(), out, false) {
-        log::warn!(runner = runner; "runner not {word}: {why}");
-        return Err(why.to_owned());
-    }
-    log::info!(runner = runner; "runner {word} by hand");
-    bans::write(file, runtime.banned().iter().map(String::as_str))
-        .map_err(|e| format!("{word} here, but not kept in {}: {e}", file.display()))
-}
-
-/// Takes a runner's call-back that the other process of an upgrade handed on.
-fn told(runtime: &Runtime, call_back: &str) -> Result<(), String> {
-    let told: CallBack = serde_json::from_str(call_back).map_err(|e| format!("TOLD: {e}"))?;
-    if !runtime.knows(&told.id) {
-        return Err("no job of that id is under way here".to_owned());
-    }
-    log::debug!("request {}: a call-back was handed on", told.id);
-    callbacks::take(runtime, told);
-    Ok(())
-}
-
-/// Takes on the bans that the file holds: a predecessor's, or the other process's during an upgrade.
-fn follow_bans(runtime: &Runtime, file: &Path) {
-    let kept = match bans::read(file) {
-        Ok(kept) => kept,
-        Err(e) => return log::warn!("bans: {}: {e}", file.display()),
-    };
-    let here = runtime.banned();
-    for runner in kept.difference(&here) {
-        log::info!(runner = runner.as_str(); "runner taken out by hand, as the file of bans says");
-        let _ = runtime.hand(runner.clone(), true, true);
-    }
-    for runner in here.difference(&kept) {
-        log::info!(runner = runner.as_str(); "runner put back by hand, as the file of bans says");
-        let _ = runtime.hand(runner.clone(), false, true);
-    }
-}
-
-/// The keys that a predecessor left, and for how long it may be in doubt what it did.
-fn remember(
-    mut store: keys::Store,
-    doubts: &[sr::Span],
-    tables: &sablerun_settings::Tables,
-    place: Option<&snapshots::Place>,
-    now: sr::Time,
-) -> keys::Store {
-    let snapshot = place.and_then(snapshots::Place::read);
-    let whole = snapshot.as_ref().is_some_and(|snapshot| snapshot.last);
-    if !whole {
-        for (class, doubt) in doubts.iter().enumerate() {
-            store.doubt_until(class as u32, now + *doubt);
-        }
-    }
-    if let Some(snapshot) = snapshot {
-        let (age, all) = ((now - snapshot.made).secs(), snapshot.records.len());
-        let names = (|n: &str| tables.classes.get(n), |n: &str| tables.tenants.get(n));
-        let records = snapshot.renumbered(names.0, names.1, |n| tables.zones.get(n));
-        let taken = store.restore(now, records);
-        log::info!(keys = all, taken = taken, age_s = age, whole = whole; "keys: a predecessor's are back");
-    }
-    store
-}
--- a/node/src/snapshots.rs
+++ b/node/src/snapshots.rs
@@ -5,7 +5,8 @@
 
 use crate::operator::SnapshotFile;
 use crate::runtime::Runtime;
-use sablerun_keys::{Names, Snapshot};
+use sablerun as sr;
+use sablerun_keys::{self as keys, Names, Snapshot};
 use std::fs::{File, OpenOptions};
 use std::io::{self, Write};
 use std::path::{Path, PathBuf};
@@ -171,3 +172,28 @@
         }
     }
 }
+
+/// The keys that a predecessor left, and for how long it may be in doubt what it did.
+pub fn remember(
+    mut store: keys::Store,
+    doubts: &[sr::Span],
+    tables: &sablerun_settings::Tables,
+    place: Option<&Place>,
+    now: sr::Time,
+) -> keys::Store {
+    let snapshot = place.and_then(Place::read);
+    let whole = snapshot.as_ref().is_some_and(|snapshot| snapshot.last);
+    if !whole {
+        for (class, doubt) in doubts.iter().enumerate() {
+            store.doubt_until(class as u32, now + *doubt);
+        }
+    }
+    if let Some(snapshot) = snapshot {
+        let (age, all) = ((now - snapshot.made).secs(), snapshot.records.len());
+        let names = (|n: &str| tables.classes.get(n), |n: &str| tables.tenants.get(n));
+        let records = snapshot.renumbered(names.0, names.1, |n| tables.zones.get(n));
+        let taken = store.restore(now, records);
+        log::info!(keys = all, taken = taken, age_s = age, whole = whole; "keys: a predecessor's are back");
+    }
+    store
+}
--- /dev/null
+++ b/node/tests/bad_input.rs
@@ -0,0 +1,221 @@
+//! What clients and configurations may send: each gets its clear error in time, and nobody else is hurt.
+
+mod common;
+
+use common::*;
+use serde_json::{Value, json};
+use std::io::{Read, Write};
+use std::net::{Shutdown, TcpListener, TcpStream};
+use std::process::Stdio;
+use std::thread;
+
+#[test]
+fn bad_input_gets_its_status() {
+    let (_discovery, runner, program) = one_runner();
+    let status = |head: &str, body: &str| call(program.at, head, body).status();
+    let good = api("pick-route", "good", "100m", "");
+    let without = |name: &str| {
+        let lines = good.split("\r\n").filter(|line| !line.starts_with(name));
+        lines.collect::<Vec<_>>().join("\r\n")
+    };
+    for name in ["X-Request-ID", "X-Priority-Class", "X-Timeout", "X-Tenant-Id"] {
+        assert_eq!(status(&without(name), "x"), 400, "{name}");
+    }
+    assert_eq!(status(&without("Idempotency-Key").replace("pick-route", "short-pick"), "x"), 400);
+    for (from, to) in [
+        ("pick-route", "no-class"),
+        ("mehran-dist", "nobody"),
+        ("ID: good", "ID: a/b"),
+        ("100m", "100"),
+        ("100m", "-1m"),
+        ("100m", "NaNm"),
+        ("100m", "m"),
+        ("100m", "100m\r\nX-Cost: much"),
+        ("100m", "100m\r\nX-Attrs: slots"),
+        ("100m", "100m\r\nX-Attrs: slots=-2"),
+    ] {
+        assert_eq!(status(&good.replace(from, to), "x"), 400, "{to}");
+    }
+    assert_eq!(status(&good, &"x".repeat(64 * 1024 + 1)), 413);
+    assert_eq!(status("GET /api HTTP/1.1", ""), 405);
+    assert_eq!(status("POST /up HTTP/1.1", ""), 405);
+    assert_eq!(status("GET /v1/job-events HTTP/1.1", ""), 405);
+    assert_eq!(status("GET /elsewhere HTTP/1.1", ""), 404);
+    assert_eq!(runner.seen.count("POST"), 0);
+    // A body of just the size passes, and microseconds are a unit too.
+    let answer = call(program.at, &api("pick-route", &new_id(), "5000000u", ""), &"x".repeat(64 * 1024));
+    assert_eq!(answer.status(), 200);
+}
+
+/// What is written, as it comes back: the status, and that nothing but the stream's end follows. A
+/// reset in place of the end would mean that the answer may get lost on its way.
+fn last_words(stream: &mut TcpStream, what: &str) -> u16 {
+    stream.set_read_timeout(Some(PATIENCE)).unwrap();
+    let mut text = String::new();
+    stream.read_to_string(&mut text).unwrap_or_else(|e| panic!("{what}: {e}"));
+    assert_eq!(text.matches("HTTP/1.1").count(), 1, "{what}: {text}");
+    text.split(' ').nth(1).unwrap().parse().unwrap()
+}
+
+/// After an error on framing nothing that follows can be trusted: an error, then the end, and nothing
+/// of it goes on to a runner, above all no request that is hidden in another's body.
+#[test]
+fn what_cannot_be_framed_gets_an_error_and_the_end_and_is_not_sent_on() {
+    let (_discovery, runner, program) = one_runner();
+    let hidden =
+        format!("{}\r\nHost: t\r\nContent-Length: 1\r\n\r\nx", api("bin-check", "hidden", "5000m", ""));
+    let chunked = format!("{:x}\r\n{hidden}\r\n0\r\n\r\n", hidden.len());
+    for (framing, body) in [
+        (format!("Content-Length: {}\r\nTransfer-Encoding: chunked", chunked.len()), chunked.as_str()),
+        ("Transfer-Encoding: chunked\r\nContent-Length: 5".to_owned(), "0\r\n\r\n"),
+        ("Content-Length: 1\r\nContent-Length: 2".to_owned(), "xx"),
+        ("Content-Length: -1".to_owned(), "x"),
+        ("Content-Length: +1".to_owned(), "x"),
+        ("Content-Length: one".to_owned(), "x"),
+        ("Content-Length: 99999999999999999999999".to_owned(), "x"),
+        ("Content-Length: 18446744073709551615".to_owned(), hidden.as_str()),
+        ("Transfer-Encoding: gzip".to_owned(), "x"),
+        ("Transfer-Encoding: chunked".to_owned(), "-1\r\nx\r\n0\r\n\r\n"),
+        ("Transfer-Encoding: chunked".to_owned(), "fffffffffffffffff\r\nx\r\n0\r\n\r\n"),
+        ("No colon".to_owned(), hidden.as_str()),
+    ] {
+        let mut stream = TcpStream::connect(program.at).unwrap();
+        let head = api("bin-check", &new_id(), "5000m", "");
+        write!(stream, "{head}\r\nHost: t\r\n{framing}\r\n\r\n{body}").unwrap();
+        assert!((400..500).contains(&last_words(&mut stream, &framing)), "{framing}");
+    }
+    for text in ["no request at all\r\n\r\n", "GET /up HTTP/1.1\r\n\r\n", "\0\0\0\0\r\n\r\n"] {
+        let mut stream = TcpStream::connect(program.at).unwrap();
+        stream.write_all(text.as_bytes()).unwrap();
+        assert_eq!(last_words(&mut stream, text), 400);
+    }
+    assert_eq!(runner.seen.all(), Vec::<String>::new());
+}
+
+/// What is far too large is turned down at once, and the answer arrives although the client writes on.
+#[test]
+fn what_is_too_large_gets_its_answer_however_much_is_sent() {
+    let (_discovery, _runner, program) = one_runner();
+    let mut stream = TcpStream::connect(program.at).unwrap();
+    let body = vec![b'x'; 8 * 1024 * 1024];
+    write!(
+        stream,
+        "{}\r\nHost: t\r\nContent-Length: {}\r\n\r\n",
+        api("bin-check", "a", "50m", ""),
+        body.len()
+    )
+    .unwrap();
+    stream.write_all(&body).unwrap();
+    stream.shutdown(Shutdown::Write).unwrap();
+    assert_eq!(last_words(&mut stream, "body"), 413);
+    // A head far over the size, but within what actix-http would take.
+    let mut stream = TcpStream::connect(program.at).unwrap();
+    write!(stream, "GET /up HTTP/1.1\r\nX: {}", "x".repeat(32 * 1024)).unwrap();
+    assert_eq!(last_words(&mut stream, "head"), 431);
+}
+
+/// Whoever says nothing, or breaks off in the midst of a head or body, hears so and is let go, also on
+/// a connection that has carried a request; one that rests between requests is left alone.
+#[test]
+fn what_does_not_come_to_its_end_is_not_waited_for() {
+    let (_discovery, runner, program) = one_runner();
+    let served = || {
+        let mut stream = TcpStream::connect(program.at).unwrap();
+        let id = new_id();
+        write!(stream, "{}\r\nHost: t\r\nContent-Length: 1\r\n\r\nx", api("short-pick", &id, "5000m", ""))
+            .unwrap();
+        assert_eq!(answer(&stream).unwrap().status(), 200);
+        stream
+    };
+    let rests = served();
+    let half =
+        format!("{}\r\nHost: t\r\nContent-Length: 100\r\n\r\nx", api("bin-check", &new_id(), "5000m", ""));
+    let fresh = || TcpStream::connect(program.at).unwrap();
+    let mut streams = [
+        (fresh(), ""),
+        (fresh(), "POST /api"),
+        (fresh(), half.as_str()),
+        (served(), "POST"),
+        (served(), half.as_str()),
+    ];
+    for (stream, text) in &mut streams {
+        stream.write_all(text.as_bytes()).unwrap();
+    }
+    for (stream, text) in &mut streams {
+        assert_eq!(last_words(stream, text), 408, "{text}");
+    }
+    assert_eq!(runner.seen.count("POST"), 3);
+    write!(&rests, "GET /up HTTP/1.1\r\nHost: t\r\n\r\n").unwrap();
+    assert_eq!(answer(&rests).unwrap().status(), 200);
+}
+
+/// Hundreds that connect and say nothing: a client that comes after them finds a place before their
+/// time is up, and one that was there keeps its own.
+#[test]
+fn silent_connections_cost_clients_nothing() {
+    let (_discovery, _runner, program) = one_runner_on(64);
+    let ask = |stream: &mut TcpStream| {
+        write!(
+            stream,
+            "{}\r\nHost: t\r\nContent-Length: 1\r\n\r\nx",
+            api("short-pick", &new_id(), "5000m", "")
+        )
+        .unwrap();
+        answer(stream).unwrap()
+    };
+    let mut there = TcpStream::connect(program.at).unwrap();
+    assert_eq!(ask(&mut there).status(), 200);
+    let _silent: Vec<_> = (0..40).map(|_| TcpStream::connect(program.at).unwrap()).collect();
+    let late = ask(&mut TcpStream::connect(program.at).unwrap());
+    let again = ask(&mut there);
+    assert_eq!((late.status(), again.status()), (200, 200));
+    assert_eq!((late.headers.get("connection"), again.headers.get("connection")), (None, None));
+}
+
+#[test]
+fn bad_configuration_ends_it_with_one_line_that_names_the_key() {
+    let discovery = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let good = Program::config(discovery, settings());
+    let with = |pointer: &str, value: Value| {
+        let mut config = good.clone();
+        *config.pointer_mut(pointer).unwrap() = value;
+        config
+    };
+    let gateway = |from: &str, to: &str| Some(GATEWAY.replace(from, to));
+    for (config, gateway, key) in [
+        (with("/listen", json!("nowhere")), None, "listen"),
+        (with("/seed", json!("xyz")), None, "seed"),
+        (with("/settings/rules/coldFrom", json!("warm")), None, "settings.rules.coldFrom"),
+        (with("/settings/rules/coldFrom", json!(7)), None, "cold_from"),
+        (with("/settings/services/0/repeat", json!("maybe")), None, "repeat"),
+        (good.clone(), gateway("class = \"wave-release\"", "class = \"waves\""), "route.class"),
+        (good.clone(), gateway("plaintext = true", ""), "plaintext"),
+        (good.clone(), gateway("fetch_wait_ms = 200", "fetch_wait = 200"), "fetch_wait"),
+        (good.clone(), gateway("fetch_wait_ms = 200", "fetch_wait_ms = \"long\""), "fetch_wait_ms"),
+        (good.clone(), gateway("zone = \"hall-a\"", "zone = \"hall-z\""), "zone"),
+        (good.clone(), gateway("listen = ", "listen = = "), "gateway.toml"),
+    ] {
+        let mut command = Program::command(&config, gateway.as_deref());
+        let output = command.env("RUST_LOG", "info").stderr(Stdio::piped()).output().unwrap();
+        let log = String::from_utf8(output.stderr).unwrap();
+        assert!(!output.status.success());
+        assert!(log.lines().count() == 1 && log.contains(key), "{key}: {log}");
+    }
+}
+
+/// More clients than descriptors: they wait or are turned away, and the program lives.
+#[test]
+fn at_the_descriptor_limit_it_degrades_and_lives() {
+    let (_discovery, _runner, program) = one_runner_on(64);
+    let _idle: Vec<_> = (0..14).map(|_| TcpStream::connect(program.at).unwrap()).collect();
+    let clients: Vec<_> = (0..40)
+        .map(|_| {
+            let at = program.at;
+            thread::spawn(move || call(at, &api("short-pick", &new_id(), "5000m", ""), "early").status())
+        })
+        .collect();
+    // A runner's call-back must find a connection too: the idle ones are closed to make room.
+    let heard: Vec<_> = clients.into_iter().map(|client| client.join().unwrap()).collect();
+    assert!(heard.iter().all(|status| [200, 503, 502].contains(status)), "{heard:?}");
+    assert_eq!(call(program.at, "GET /up HTTP/1.1", "").status(), 200);
+}
--- /dev/null
+++ b/node/tests/lists.rs
@@ -0,0 +1,99 @@
+//! The program and discovery: watches that break or fall silent, old lists, and an address that moves.
+
+mod common;
+
+use common::*;
+use serde_json::json;
+
+/// A drain told on the watch binds at once; a watch that breaks is begun anew and tells the rest.
+#[test]
+fn nothing_new_goes_to_a_runner_once_it_drains() {
+    let (leaving, staying) = (Runner::start("s-0"), Runner::start("s-1"));
+    let discovery = Discovery::start(vec![host("s-0", leaving.at, "hall-a", "active")]);
+    let program = Program::start(&discovery, settings(), None);
+    leaving.call_back_to(&program);
+    staying.call_back_to(&program);
+    assert_eq!(call(program.at, &api("pick-route", &new_id(), "5000m", ""), "x").body, "by s-0");
+    discovery
+        .tell(&[host("s-0", leaving.at, "hall-a", "leaving"), host("s-1", staying.at, "hall-a", "active")]);
+    program.log.wait("list Delta", 1);
+    let before = leaving.seen.count("POST");
+    for _ in 0..20 {
+        assert_eq!(call(program.at, &api("pick-route", &new_id(), "5000m", ""), "x").body, "by s-1");
+    }
+    assert_eq!(leaving.seen.count("POST"), before);
+    discovery.break_watches();
+    program.log.wait("list Full", 2);
+    assert!(discovery.calls.wait("stream=1", 2).contains("index=2"));
+}
+
+/// Calls that discovery turns down and a watch on which nobody speaks any more are made anew, and the
+/// list that is known at the start may be old: a runner that the first whole list leaves out is gone.
+#[test]
+fn the_watch_is_made_anew_and_an_old_list_is_corrected() {
+    let (old, new) = (Runner::start("s-0"), Runner::start("s-1"));
+    let hosts = vec![host("s-1", new.at, "hall-a", "active")];
+    let discovery = Discovery::planned(hosts, &[Planned::Busy, Planned::Reset, Planned::Silent]);
+    let mut config = Program::config(discovery.at, settings());
+    config["known"]["hosts"] = json!([host("s-0", old.at, "hall-a", "active")]);
+    let program = Program::start_with(config, None);
+    old.call_back_to(&program);
+    new.call_back_to(&program);
+    for _ in 0..10 {
+        assert_eq!(call(program.at, &api("pick-route", &new_id(), "5000m", ""), "x").body, "by s-1");
+    }
+    program.log.wait("watch failed: answered 503", 1);
+    program.log.wait("watch failed: silent", 1);
+    program.log.wait("list Full", 2);
+    assert!(program.log.count("watch failed") >= 3);
+    assert_eq!(old.seen.count("POST"), 0);
+}
+
+/// Discovery that moves under load: the new address is asked at once and for the whole list, what is
+/// known holds until it tells something, and the end of the old watch changes nothing any more.
+#[test]
+fn sighup_moves_the_watch_to_the_discovery_that_the_file_names() {
+    let (leaving, staying) = (Runner::start("s-0"), Runner::start("s-1"));
+    let hosts = [host("s-0", leaving.at, "hall-a", "active"), host("s-1", staying.at, "hall-a", "active")];
+    let old = Discovery::start(hosts[..1].to_vec());
+    let program = Program::start(&old, settings(), None);
+    leaving.call_back_to(&program);
+    staying.call_back_to(&program);
+    old.tell(&hosts[..1]);
+    program.log.wait("list Delta 2", 1);
+    // The first call there fails: it is made again there and not at the old address.
+    let new = Discovery::planned(hosts[..1].to_vec(), &[Planned::Busy]);
+    std::fs::write(&program.config, Program::config(new.at, settings()).to_string()).unwrap();
+    program.signal("HUP");
+    program.log.wait("watch failed: answered 503", 1);
+    assert_eq!(call(program.at, &api("pick-route", &new_id(), "5000m", ""), "x").body, "by s-0");
+    assert!(new.calls.wait("stream=1", 2).contains("index=0"));
+    program.log.wait("list Full 1", 2);
+    old.break_watches();
+    new.tell(&[host("s-0", leaving.at, "hall-a", "leaving"), hosts[1].clone()]);
+    program.log.wait("list Delta 2", 2);
+    for _ in 0..10 {
+        assert_eq!(call(program.at, &api("pick-route", &new_id(), "5000m", ""), "x").body, "by s-1");
+    }
+    assert_eq!((old.calls.count("stream=1"), program.log.count("watch failed")), (1, 1));
+}
+
+/// A file that is half written, or makes no sense, leaves everything as it is and says so.
+#[test]
+fn sighup_with_a_file_of_no_use_changes_nothing() {
+    let (discovery, _runner, program) = one_runner();
+    let good = Program::config(([127, 0, 0, 1], 1).into(), settings());
+    let mut senseless = good.clone();
+    senseless["settings"]["services"][0]["repeat"] = json!("maybe");
+    let half = good.to_string()[..200].to_owned();
+    for (n, (text, key)) in
+        [(half, "EOF"), (String::new(), "EOF"), (senseless.to_string(), "repeat")].into_iter().enumerate()
+    {
+        std::fs::write(&program.config, text).unwrap();
+        program.signal("HUP");
+        assert!(program.log.wait("configuration not read anew", n + 1).contains(key));
+    }
+    assert_eq!(call(program.at, &api("pick-route", &new_id(), "5000m", ""), "x").body, "by s-0");
+    discovery.break_watches();
+    discovery.calls.wait("stream=1", 2);
+}
