Open a watch where lists are pushed, and send nothing while the agent is not watched

The program opened no watch at all on such a deployment (Balancer::list_failed calls only where lists are asked for) and would have served from the list of its configuration for ever.

The simulator's pushed lists stay as they are.

--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -8,7 +8,7 @@
 use crate::operator;
 use crate::runtime::Runtime;
 use sablerun as sr;
-use sablerun_settings::Env;
+use sablerun_settings::{Env, Tables};
 use serde_json::Value;
 use std::net::SocketAddr;
 
@@ -28,6 +28,23 @@
     pub settings: Env,
 }
 
+impl Config {
+    /// The settings as the module takes them, and the tables of their names. Where lists are pushed, the
+    /// sockets' protocol has them come over a watch on the machine's own agent, which must be opened.
+    ///
+    /// # Errors
+    ///
+    /// Names the setting that makes no sense.
+    pub fn settle(&self) -> Result<(sr::Settings, Tables), String> {
+        let (mut settings, tables) =
+            self.settings.settle().map_err(|e| format!("NODE_CONFIG: settings: {e}"))?;
+        if settings.discovery == sr::Discovery::Pushed {
+            settings.discovery = sr::Discovery::Agent;
+        }
+        Ok((settings, tables))
+    }
+}
+
 /// The machine's limits.
 #[derive(serde::Deserialize)]
 pub struct Machine {
@@ -59,9 +76,9 @@
 /// Reads the configuration anew: discovery may have moved, and new settings hold from now on. A file
 /// that makes no sense, or is half written, changes nothing.
 pub fn reload(runtime: &Runtime, text: &mut Value, kept: Option<&operator::Keys>) {
-    let read = read_config().and_then(|(config, text)| match config.settings.settle() {
-        Ok(settled) => Ok((config, text, settled)),
-        Err(e) => Err(format!("NODE_CONFIG: settings: {e}")),
+    let read = read_config().and_then(|(config, text)| {
+        let settled = config.settle()?;
+        Ok((config, text, settled))
     });
     match read {
         Ok((config, new, (settings, tables))) => {
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -69,7 +69,7 @@
     let operator = args.config.as_deref().map(|path| Ok::<_, String>((path, Operator::read(path)?)));
     let operator = operator.transpose()?;
     let (config, _) = read_config()?;
-    let (_, tables) = config.settings.settle().map_err(|e| format!("NODE_CONFIG: settings: {e}"))?;
+    let (_, tables) = config.settle()?;
     u64::from_str_radix(&config.seed, 16).map_err(|e| format!("NODE_CONFIG: seed: {e}"))?;
     if let Some((path, operator)) = &operator {
         operator.check(&tables, config.limits.memory_mb).map_err(|e| format!("{}: {e}", path.display()))?;
@@ -78,7 +78,8 @@
 }
 
 async fn run(config: Config, mut text: Value, operator: Operator) -> Result<(), String> {
-    let (settings, tables) = config.settings.settle().map_err(|e| format!("NODE_CONFIG: settings: {e}"))?;
+    let (settings, tables) = config.settle()?;
+    let agent = settings.discovery == sr::Discovery::Agent;
     let seed = u64::from_str_radix(&config.seed, 16).map_err(|e| format!("NODE_CONFIG: seed: {e}"))?;
     let machine = &config.limits;
     operator.check(&tables, machine.memory_mb).map_err(|e| format!("--config: {e}"))?;
@@ -138,7 +139,8 @@
         }
     };
 
-    if let Some(known) = config.known {
+    // What an agent holds counts as told from the first moment: what was known before is of no use then.
+    if let Some(known) = config.known.filter(|_| !agent) {
         roster.take(sr::ListKind::Saved, known);
     } else {
         runtime.feed(Input::List(crate::core::Source::Discovery, sr::ListKind::Saved, Vec::new()));
--- a/node/tests/lists.rs
+++ b/node/tests/lists.rs
@@ -78,6 +78,26 @@
     assert_eq!((old.calls.count("stream=1"), program.log.count("watch failed")), (1, 1));
 }
 
+/// Where lists are pushed, they come over a watch on the machine's agent: it is opened at once, what was known
+/// before the start is not used, and a watch that ends is opened anew.
+#[test]
+fn a_pushed_list_comes_over_a_watch_on_the_agent() {
+    let (old, new) = (Runner::start("s-0"), Runner::start("s-1"));
+    let agent = Discovery::planned(vec![host("s-1", new.at, "hall-a", "active")], &[Planned::Reset]);
+    let mut pushed = settings();
+    pushed["membershipMode"] = json!("pushed");
+    let mut config = Program::config(agent.at, pushed);
+    config["known"]["hosts"] = json!([host("s-0", old.at, "hall-a", "active")]);
+    let program = Program::start_with(config, None);
+    new.call_back_to(&program);
+    for _ in 0..10 {
+        assert_eq!(call(program.at, &api("pick-route", &new_id(), "5000m", ""), "x").body, "by s-1");
+    }
+    assert_eq!(old.seen.count("POST"), 0);
+    agent.break_watches();
+    agent.calls.wait("stream=1", 3);
+}
+
 /// A file that is half written, or makes no sense, leaves everything as it is and says so.
 #[test]
 fn sighup_with_a_file_of_no_use_changes_nothing() {
--- a/src/balance/line.rs
+++ b/src/balance/line.rs
@@ -157,10 +157,9 @@
     /// The one place that settles: refused for an objective if a repeat can do no harm, else failed.
     pub(super) fn settle(&mut self, id: RequestId) {
         let Some(request) = self.requests.get(&id).filter(|request| !request.settled) else { return };
-        let harmless = match self.settings.classes[request.class].effect {
-            Effect::Safe | Effect::Keyed(Group::All) => true,
-            _ => self.may_have_run(request).is_none(),
-        };
+        let free =
+            matches!(self.settings.classes[request.class].effect, Effect::Safe | Effect::Keyed(Group::All));
+        let harmless = free || self.may_have_run(request).is_none();
         let off = self.settings.max_hold_off.min(self.settings.classes[request.class].objective);
         self.out.push(if harmless { Action::Refuse(id, off) } else { Action::Fail(id) });
         self.close(id);
--- a/src/balance/list.rs
+++ b/src/balance/list.rs
@@ -52,10 +52,11 @@
 
     /// Asks again after a growing wait, shared by all: not in step, nor so often that all calls wait in vain.
     pub(super) fn list_failed(&mut self, silent: bool) {
-        self.blind = self.blind.or(silent.then_some(self.now + self.settings.told_within));
-        if self.settings.discovery == Discovery::Asked && !self.subscribing {
-            self.subscribing = true;
-            let told = self.blind.map(|_| self.settings.told_within.secs() * 2.0 * self.list_backoff);
+        let agent = self.settings.discovery == Discovery::Agent;
+        let within = if agent { Span(0) } else { self.settings.told_within };
+        self.blind = self.blind.or((silent || agent).then_some(self.now + within));
+        if self.settings.discovery != Discovery::Pushed && !std::mem::replace(&mut self.subscribing, true) {
+            let told = self.blind.map(|_| (within.secs() * 2.0).max(1.0) * self.list_backoff);
             let most = told.unwrap_or(self.settings.ask_within.secs().max(2.0));
             let wait = (self.list_backoff * self.crowd()).min(most) * self.rng.f64();
             self.list_backoff = (self.list_backoff * 2.0).min(2.0);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -128,6 +128,8 @@
     Pushed,
     /// They arrive only after [`Action::Subscribe`] or [`Action::Fetch`].
     Asked,
+    /// The same, from an agent of this machine's own: what it holds counts as told, watched or not.
+    Agent,
 }
 
 /// Points taken off the result, as fractions of the worth asked for.
