Reckon a cold worker's budget from slots it reported, not from the room believed

Change: capacity is the most free slots that one of a kind has reported, the room only where that is less.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -1,7 +1,6 @@
-//! All decisions of the dispatcher. Its types, events and actions stand in `src/interface.rs`.
-//!
-//! Ordinary path: `price` gives each worker `C = (QL + 1) * PT + CD`, `draw` picks among the ready
-//! ones in proportion to `1 / C`. Around it stand the files beside it, each with a concern of its own.
+//! All decisions of the dispatcher; its types, events and actions stand in `src/interface/`. `price` gives
+//! each worker `C = (QL + 1) * PT + CD`, `draw` picks among the ready ones in proportion to `1 / C`. Around
+//! it stand the files beside it, each with a concern of its own.
 
 use crate::interface::*;
 use std::collections::{BTreeSet, HashMap, VecDeque};
@@ -51,7 +50,7 @@
     workers: Vec<Worker>,
     peers: Vec<Peers>,
     classes: Vec<ClassStat>,
-    /// Each tenant's share a second, requests it may still make here, the part of its share used here, and when.
+    /// Each tenant's share a second, requests it may still make, the part of its share used here, and when.
     tenants: Vec<(f64, f64, f64, f64)>,
     requests: HashMap<RequestId, Request>,
     /// Requests held, in the order in which they are served: within share first, then by rank.
--- a/src/balance/ledger.rs
+++ b/src/balance/ledger.rs
@@ -66,6 +66,7 @@
         let (running, peers) = (self.workers[i].load.running, &mut self.peers[self.workers[i].group]);
         let room = peers.slots;
         peers.slots = room.max(report.free_slots.map_or(0.0, f64::round));
+        peers.free = peers.free.max(report.free_slots.unwrap_or(0.0));
         let used = match (report.free_slots, report.inflight) {
             (Some(free), _) if free >= 0.5 => Some(room - free),
             (Some(_), Some(inflight)) => Some(inflight.max(room)),
--- a/src/balance/line.rs
+++ b/src/balance/line.rs
@@ -135,8 +135,7 @@
         }
         (w.turns, w.turns_at) = (turns - request.work * request.slots / self.mean_work, self.at);
         w.returned = false;
-        w.load.own += request.slots;
-        w.load.waiting += 1;
+        (w.load.own, w.load.waiting) = (w.load.own + request.slots, w.load.waiting + 1);
         w.trial = w.trial.map(|_| self.at + TRIAL);
         let (worker, sent, heard) = (i, self.now, self.now);
         request.attempts.push(Attempt { worker, sent, heard, idle, ..Attempt::default() });
--- a/src/balance/list.rs
+++ b/src/balance/list.rs
@@ -23,8 +23,8 @@
             let key = (entry.kind, entry.zone);
             let group = self.peers.iter().position(|p| p.key == key).unwrap_or(self.peers.len());
             if group == self.peers.len() {
-                let (slots, seen_at, ways) = (SLOTS_PRIOR, self.at, [0.03; 2]);
-                self.peers.push(Peers { key, ways, slots, shown: 0.0, took: 0.0, others: 0.0, seen_at });
+                let (slots, free, seen_at, ways) = (SLOTS_PRIOR, SLOTS_PRIOR, self.at, [0.03; 2]);
+                self.peers.push(Peers { key, ways, slots, free, seen_at, ..Peers::default() });
             }
             // Where gone does not bind, a list may be old: a drain once seen holds until a later start.
             let (old, listed) = (&self.entries[i], self.workers[i].listed);
--- a/src/balance/outcomes.rs
+++ b/src/balance/outcomes.rs
@@ -14,12 +14,10 @@
             attempt.started = Some(self.now);
             self.lasted(idle, true);
             let due = self.start_due(i, idle, class).secs();
-            let w = &mut self.workers[i];
-            w.load.waiting -= 1;
-            w.load.running += slots;
-            w.load.rate += 1.0 / work;
-            w.load.rate_start += self.at / work;
-            let way = &mut self.peers[w.group].ways[usize::from(idle == 0.0)];
+            let load = &mut self.workers[i].load;
+            (load.waiting, load.running) = (load.waiting - 1, load.running + slots);
+            (load.rate, load.rate_start) = (load.rate + 1.0 / work, load.rate_start + self.at / work);
+            let way = &mut self.peers[self.workers[i].group].ways[usize::from(idle == 0.0)];
             *way += if delay < *way { 0.3 } else { 0.03 } * (delay.min(*way * 3.0) - *way);
             // Room is what may be believed to be there while starts come at once: slots come free unseen.
             let (room, prompt) = (self.peers(i).slots, delay <= due);
--- a/src/balance/price.rs
+++ b/src/balance/price.rs
@@ -24,7 +24,8 @@
     /// the other; one not used in time is lost. Could do harm where few carry most of the traffic.
     pub(super) fn cold_turns(&self, i: usize) -> f64 {
         let w = &self.workers[i];
-        let capacity = self.peers(i).slots / self.slowness(i) * self.warmth(i) / self.mean_work;
+        let capacity =
+            self.peers(i).slots.min(self.peers(i).free) / self.slowness(i) * self.warmth(i) / self.mean_work;
         let share = self.settings.fall_multiple * COLD_USE / f64::from(self.settings.dispatchers);
         let turns = w.turns + capacity * share * (self.at - w.turns_at);
         let kept = capacity * share * self.settings.fall.secs();
--- a/src/balance/state.rs
+++ b/src/balance/state.rs
@@ -49,11 +49,13 @@
 }
 
 /// What the workers of one machine kind in one zone show together: their room, pace and queues.
+#[derive(Default)]
 pub(super) struct Peers {
     pub(super) key: (KindId, ZoneId),
     /// Usual time to a start note over an open connection, and over a new one.
     pub(super) ways: [f64; 2],
     pub(super) slots: f64,
+    pub(super) free: f64,
     pub(super) shown: f64,
     pub(super) took: f64,
     pub(super) others: f64,
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -51,7 +51,7 @@
 macro_rules! id {
     ($(#[$doc:meta] $name:ident),* $(,)?) => {$(
         #[$doc]
-        #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+        #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
         pub struct $name(pub u32);
     )*};
 }
