--- /dev/null
+++ b/node/src/core/attempts.rs
@@ -0,0 +1,84 @@
+//! Attempts, from their start at a runner to their end. It owns which attempt a runner's word is about, and
+//! that a runner holds one attempt of a request at a time. It must never pick the runner, nor believe a word
+//! about an attempt that is over.
+
+use super::{Answer, Attempt, AttemptId, Core, Effect, Ending};
+use sablerun as sr;
+
+impl<J: Clone> Core<J> {
+    /// The live attempt that a runner's word is about. Guards against words that are late, repeated or
+    /// about an attempt given up: id and name must both match one that is still out.
+    pub(super) fn live(&self, id: &str, from: &str) -> Option<AttemptId> {
+        let (&request, runner) = (self.ids.get(id)?, self.tables.workers.get(from)?);
+        let attempts = &self.requests.get(&request)?.attempts;
+        let number = attempts.iter().position(|a| a.live && a.runner == runner)?;
+        Some(AttemptId { request, number: number as u32 })
+    }
+
+    pub(super) fn noted(&mut self, now: sr::Time, id: &str, from: &str, note: sr::Note) {
+        if let Some(AttemptId { request, number }) = self.live(id, from) {
+            self.tell(now, sr::Event::Noted(sr::RequestId(request), number, note));
+        }
+    }
+
+    pub(super) fn ended(&mut self, now: sr::Time, attempt: AttemptId, ending: Ending) {
+        let request = self.requests.get_mut(&attempt.request);
+        let out = request.and_then(|r| r.attempts.get_mut(attempt.number as usize));
+        let Some(out) = out.filter(|a| a.live) else { return };
+        (out.live, out.may_have_run) = (false, !ending.outcome.never_ran());
+        self.effects.push(Effect::Over(attempt));
+        if ending.outcome == sr::Outcome::Ok {
+            self.answer(now, attempt.request, Answer::Served(ending.result));
+        }
+        let closed = self.requests[&attempt.request].answered;
+        self.tell(
+            now,
+            sr::Event::Ended {
+                request: sr::RequestId(attempt.request),
+                attempt: attempt.number,
+                outcome: ending.outcome,
+                closed,
+                report: ending.report,
+            },
+        );
+        self.forget(attempt.request);
+    }
+
+    /// The request itself is at fault: no other runner could use it either, and none is to blame. Guards
+    /// against bad clients that spoil what the module thinks of a runner.
+    pub(super) fn unusable(&mut self, now: sr::Time, attempt: AttemptId) {
+        let request = self.requests.get_mut(&attempt.request);
+        let out = request.and_then(|r| r.attempts.get_mut(attempt.number as usize));
+        let Some(out) = out.filter(|a| a.live) else { return };
+        out.live = false;
+        self.effects.push(Effect::Over(attempt));
+        self.answer(now, attempt.request, Answer::Failed("the runner can't use the request"));
+        self.end_for_module(attempt.request, attempt.number, sr::Outcome::Moot);
+        self.tell_events(now);
+        self.forget(attempt.request);
+    }
+
+    pub(super) fn start(&mut self, now: sr::Time, request: u32, runner: u32) {
+        let Some(held) = self.requests.get_mut(&request) else {
+            self.end_for_module(request, 0, sr::Outcome::Moot);
+            return;
+        };
+        let number = held.attempts.len() as u32;
+        // A runner gets one attempt of a request at a time.
+        let there = held.attempts.iter().any(|a| a.live && a.runner == runner);
+        let moot = there || held.answered;
+        held.attempts.push(Attempt { runner, live: !moot, sent: now, may_have_run: !moot });
+        if moot {
+            self.end_for_module(request, number, sr::Outcome::Moot);
+            return;
+        }
+        self.tally.attempts += 1;
+        self.effects.push(Effect::Start {
+            attempt: AttemptId { request, number },
+            id: held.id.clone(),
+            runner: self.tables.workers.name(runner).to_owned(),
+            job: held.job.clone(),
+            deadline: held.deadline,
+        });
+    }
+}
