--- /dev/null
+++ b/settings/src/settle.rs
@@ -0,0 +1,134 @@
+//! From the settings object to the module's settings and the tables. It owns what each key means there, and
+//! names what makes no sense. It must never read a file, mend a value, nor decide what the module should.
+
+use crate::env::{Env, Rules};
+use crate::tables::{Field, Names, Tables};
+use sablerun as sr;
+
+impl Env {
+    /// The module's settings and the name tables.
+    ///
+    /// # Errors
+    ///
+    /// Names the setting that makes no sense.
+    pub fn settle(&self) -> Result<(sr::Settings, Tables), String> {
+        let env = self;
+        let mut zones = Names::of(&env.failure_domains);
+        let kinds = Names::of(&env.kinds);
+        let classes = env.services.iter().enumerate();
+        let settings = sr::Settings {
+            dispatchers: env.balancers,
+            number: env.me,
+            zone: Some(sr::ZoneId(zones.number(&env.zone))),
+            classes: classes
+                .map(|(i, service)| {
+                    let kind = env.extra.class_kind.get(i).copied().unwrap_or(-1);
+                    let stretch = env.extra.class_stretch.get(i).copied();
+                    Ok(sr::Class {
+                        objective: sr::Span(service.objective),
+                        stretch: service.aim_stretch.or(stretch).unwrap_or(0.0),
+                        deadline: sr::Span(service.deadline),
+                        worth: service.importance,
+                        late_worth: service.late_worth,
+                        effect: effect(&service.repeat, service.group.as_deref())?,
+                        window: sr::Span(service.window),
+                        kind: u32::try_from(kind).ok().map(sr::KindId),
+                    })
+                })
+                .collect::<Result<_, String>>()?,
+            tenants: env
+                .projects
+                .iter()
+                .map(|project| sr::Tenant { quota_per_s: project.quota_per_s })
+                .collect(),
+            over_share_worth: env.over_share_worth,
+            prices: sr::Prices {
+                cross_zone: env.prices.cross_zone,
+                handshake: env.prices.handshake,
+                waste: env.prices.waste,
+                probe: env.prices.probe,
+                late_fail: env.prices.late_fail,
+            },
+            discovery: match env.membership_mode.as_str() {
+                "pushed" => sr::Discovery::Pushed,
+                "on_request" => sr::Discovery::Asked,
+                other => return Err(format!("membershipMode {other:?}")),
+            },
+            tick: sr::Span(env.tick),
+            tells_start: env.extra.tells_start,
+            progress: sr::Span(env.extra.progress),
+            cancel: env.limits.cancel,
+            probing: env.limits.probing,
+            parallel: env.limits.parallel_tries,
+            idle_limit: env.limits.conn_idle.map_or(sr::Settings::default().idle_limit, sr::Span),
+            max_attempts: env.limits.try_limit,
+            budget: budget(&env.rules)?,
+            tail: sr::Tail { weight: env.goal.tail_part, tolerated: env.goal.tail_miss },
+            worth_by_work: env.worth_by == "work",
+            marks_retries: env.client_habits.marks_retry,
+            sized: matches!(env.weights.as_str(), "nominal" | "rough"),
+            max_hold_off: sr::Span(if env.limits.retry_after { env.limits.max_retry_after } else { 0 }),
+            drain_grace: sr::Span(env.rules.drain_grace),
+            ask_within: env.rules.ask_within.map_or(sr::Settings::default().ask_within, sr::Span),
+            // A figure of the protocol, which no setting carries.
+            told_within: sr::Settings::default().told_within,
+            drain_binds_alone: env.rules.drain_binds_alone,
+            cold_from: env.rules.cold_from,
+            warm_after: sr::Span(env.rules.warm_after),
+            fall_multiple: env.rules.fall_multiple,
+            fall: sr::Span(env.rules.fall),
+        };
+        let fields = env.reporting.fields.iter().map(|name| {
+            let meaning = match name.as_str() {
+                "x0" => env.extra.report_x0.as_deref().unwrap_or(""),
+                "x1" => env.extra.report_x1.as_deref().unwrap_or(""),
+                name => name,
+            };
+            let field = match meaning {
+                "outstanding" => Field::Inflight,
+                "recent_ms" => Field::Latency,
+                "free slots" => Field::FreeSlots,
+                "free memory" => Field::FreeMemory,
+                "errors_per_s" => Field::Errors,
+                _ => Field::Unused,
+            };
+            (name.clone(), field)
+        });
+        let fields = fields.collect();
+        let classes = Names::of(env.services.iter().map(|service| &service.name));
+        let tenants = Names::of(env.projects.iter().map(|project| &project.name));
+        // Numbers are places in these lists: a name twice would shift all that follow.
+        for (what, named, listed) in
+            [("services", &classes, env.services.len()), ("projects", &tenants, env.projects.len())]
+        {
+            if named.all().len() < listed {
+                return Err(format!("{what}: a name stands twice"));
+            }
+        }
+        let tables = Tables { workers: Names::default(), zones, kinds, classes, tenants, fields };
+        settings.validate().map_err(|e| e.to_string())?;
+        Ok((settings, tables))
+    }
+}
+
+fn effect(repeat: &str, group: Option<&str>) -> Result<sr::Effect, String> {
+    Ok(match (repeat, group) {
+        ("retryable", _) => sr::Effect::Safe,
+        ("fragile", _) => sr::Effect::Unsafe,
+        ("dedup", Some("zone")) => sr::Effect::Keyed(sr::Group::Zone),
+        ("dedup", Some("cell")) => sr::Effect::Keyed(sr::Group::Cell),
+        ("dedup", Some("all") | None) => sr::Effect::Keyed(sr::Group::All),
+        _ => return Err(format!("services repeat {repeat:?}, group {group:?}")),
+    })
+}
+
+/// The budget of further attempts: all three settings or none.
+fn budget(rules: &Rules) -> Result<Option<sr::Budget>, String> {
+    match (rules.extra_floor, rules.repeat_ratio, rules.look_back) {
+        (None, None, None) => Ok(None),
+        (Some(floor), Some(ratio), Some(window)) => {
+            Ok(Some(sr::Budget { floor, ratio, window: sr::Span(window) }))
+        }
+        _ => Err("rules extraFloor, repeatRatio and lookBack go together".to_owned()),
+    }
+}
--- /dev/null
+++ b/settings/src/tables.rs
@@ -0,0 +1,125 @@
+//! Names and their numbers, and what a load report's fields mean. It owns the tables that a dispatcher keeps
+//! for that. A number once given must never change or stand for another name.
+
+use sablerun as sr;
+use std::collections::HashMap;
+
+/// Names in the order in which they were first met.
+#[derive(Clone, Debug, Default)]
+pub struct Names {
+    pub(crate) numbers: HashMap<String, u32>,
+    names: Vec<String>,
+    quoted: Vec<String>,
+}
+
+impl Names {
+    /// A table of these names.
+    pub fn of<'a>(names: impl IntoIterator<Item = &'a String>) -> Names {
+        let mut all = Names::default();
+        for name in names {
+            all.number(name);
+        }
+        all
+    }
+
+    /// The number of a name; a new one for a new name.
+    pub fn number(&mut self, name: &str) -> u32 {
+        if let Some(&number) = self.numbers.get(name) {
+            return number;
+        }
+        let number = self.names.len() as u32;
+        self.numbers.insert(name.to_owned(), number);
+        self.names.push(name.to_owned());
+        self.quoted.push(serde_json::Value::from(name).to_string());
+        number
+    }
+
+    /// The number of a name that is known.
+    pub fn get(&self, name: &str) -> Option<u32> {
+        self.numbers.get(name).copied()
+    }
+
+    /// The name behind a number.
+    pub fn name(&self, number: u32) -> &str {
+        &self.names[number as usize]
+    }
+
+    /// All names, in the order of their numbers.
+    pub fn all(&self) -> &[String] {
+        &self.names
+    }
+
+    /// The name behind a number, as JSON text.
+    pub fn quoted(&self, number: u32) -> &str {
+        &self.quoted[number as usize]
+    }
+}
+
+/// Where a value of a load report goes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Field {
+    Inflight,
+    Latency,
+    FreeSlots,
+    FreeMemory,
+    Errors,
+    Unused,
+}
+
+impl Field {
+    /// Puts a value where it belongs.
+    pub fn set(self, report: &mut sr::Report, value: Option<f64>) {
+        match self {
+            Field::Inflight => report.inflight = value,
+            Field::Latency => report.latency = value.map(|ms| sr::Span::from_secs(ms / 1e3)),
+            Field::FreeSlots => report.free_slots = value,
+            Field::FreeMemory => report.free_memory = value,
+            Field::Errors => report.errors_per_s = value,
+            Field::Unused => {}
+        }
+    }
+}
+
+/// The tables that turn names into the module's ids, and the meaning of a report's fields.
+#[derive(Clone, Debug)]
+pub struct Tables {
+    pub workers: Names,
+    pub zones: Names,
+    pub kinds: Names,
+    pub classes: Names,
+    pub tenants: Names,
+    /// The report's fields by name, in the settings' order.
+    pub fields: Vec<(String, Field)>,
+}
+
+impl Tables {
+    /// A report given as a row of values in the settings' order.
+    pub fn report(&self, row: Vec<Option<f64>>) -> sr::Report {
+        let mut report = sr::Report::default();
+        for ((_, field), value) in self.fields.iter().zip(row) {
+            field.set(&mut report, value);
+        }
+        report
+    }
+
+    /// A report given as named values. On sockets some fields go by a shorter name than in the
+    /// settings: both are understood.
+    pub fn named_report<'a>(&self, values: impl IntoIterator<Item = (&'a str, f64)>) -> sr::Report {
+        let mut report = sr::Report::default();
+        for (name, value) in values {
+            let long = match name {
+                "inflight" => "outstanding",
+                "latency_ms" => "recent_ms",
+                "eps" => "errors_per_s",
+                "queue" => "backlog",
+                "util" => "utilization",
+                "qps" => "throughput",
+                name => name,
+            };
+            if let Some((_, field)) = self.fields.iter().find(|(known, _)| known == name || known == long) {
+                field.set(&mut report, Some(value));
+            }
+        }
+        report
+    }
+}
