--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -2,6 +2,8 @@
 //! on every action. It models no server; the test says what each attempt does.
 #![allow(dead_code)]
 
+pub mod workers;
+
 use sablerun::*;
 use std::collections::BTreeMap;
 
@@ -192,6 +194,12 @@
 
     /// Ends an attempt with a report of this many requests in hand at its worker.
     pub fn end_with(&mut self, id: u32, attempt: u32, outcome: Outcome, inflight: Option<f64>) {
+        let report = inflight.map(|n| Report { inflight: Some(n), ..Report::default() });
+        self.end_reported(id, attempt, outcome, report);
+    }
+
+    /// Ends an attempt, with its worker's report if one came along.
+    pub fn end_reported(&mut self, id: u32, attempt: u32, outcome: Outcome, report: Option<Report>) {
         let request = RequestId(id);
         let Some(known) = self.requests.get_mut(&request) else { return };
         match known.attempts.get_mut(attempt as usize) {
@@ -200,7 +208,6 @@
         }
         known.settled |= outcome == Outcome::Ok;
         let closed = known.settled;
-        let report = inflight.map(|n| Report { inflight: Some(n), ..Report::default() });
         self.event(Event::Ended { request, attempt, outcome, closed, report });
     }
 
