Serve odd settings or turn them down by the name of their key, and hold each in a table

A second deployment brings settings of its own, and what odd ones lead to was held by two tests. Most already were served or turned down; three things were not good:

- a tick of an absurd length passed, and its doubling then overflowed (a panic in a debug build at the first request, a senseless time in a release build); the same sum is made with the time between progress notes.
Both are at most an hour now.
- what the module turned down was named as the module calls it (tenants.quota_per_s, dispatchers), which the file does not contain: the key in the file is named beside it now (projects.quotaPerS, balancers).
- no test held that a request of an unknown tenant is answered 400 by the header's name.

The node's test of bad configuration has six of them too, through the program.

--- a/node/tests/platform.rs
+++ b/node/tests/platform.rs
@@ -492,6 +492,12 @@
         (with("/settings/rules/coldFrom", json!("warm")), None, "settings.rules.coldFrom"),
         (with("/settings/rules/coldFrom", json!(7)), None, "cold_from"),
         (with("/settings/services/0/repeat", json!("maybe")), None, "repeat"),
+        (with("/settings/services/0/window", json!(-1)), None, "settings.services[0].window"),
+        (with("/settings/balancers", json!(0)), None, "balancers"),
+        (with("/settings/balancers", json!(1_000_000_000_000u64)), None, "settings.balancers"),
+        (with("/settings/projects/0/quotaPerS", json!(-1)), None, "projects.quotaPerS"),
+        (with("/settings/projects/0/quotaPerS", json!("many")), None, "settings.projects[0].quotaPerS"),
+        (with("/settings/rules/fallMultiple", json!(0)), None, "rules.fallMultiple"),
         (good.clone(), gateway("class = \"wave-release\"", "class = \"waves\""), "route.class"),
         (good.clone(), gateway("plaintext = true", ""), "plaintext"),
         (good.clone(), gateway("fetch_wait_ms = 200", "fetch_wait = 200"), "fetch_wait"),
@@ -523,3 +529,14 @@
     assert!(heard.iter().all(|status| [200, 503, 502].contains(status)), "{heard:?}");
     assert_eq!(call(program.at, "GET /up HTTP/1.1", "").status(), 200);
 }
+
+/// A tenant that the settings do not name: an error that names the header, and the next request is served.
+#[test]
+fn an_unknown_tenant_is_turned_down_by_name() {
+    let (_discovery, _runner, program) = one_runner_on(64);
+    let head = api("short-pick", &new_id(), "5000m", "").replace("mehran-dist", "nobody-known");
+    let answer = call(program.at, &head, "early");
+    assert_eq!(answer.status(), 400);
+    assert!(answer.body.contains("x-tenant-id"), "{}", answer.body);
+    assert_eq!(call(program.at, &api("short-pick", &new_id(), "5000m", ""), "early").status(), 200);
+}
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -383,11 +383,41 @@
             }
         }
         let tables = Tables { workers: Names::default(), zones, kinds, classes, tenants, fields };
-        settings.validate().map_err(|e| e.to_string())?;
+        settings.validate().map_err(|e| match key(e.0) {
+            Some(key) => format!("{e}, by the key {key}"),
+            None => e.to_string(),
+        })?;
         Ok((settings, tables))
     }
 }
 
+/// The key that stands for a setting of the module, where it goes by another name: who must mend the file
+/// looks for that.
+fn key(setting: &str) -> Option<&'static str> {
+    Some(match setting {
+        "dispatchers" => "balancers",
+        "number" => "me",
+        "classes" => "services",
+        "classes.deadline" => "services.deadline",
+        "classes.worth" => "services.importance",
+        "classes.stretch" => "services.aimStretch or extra.classStretch",
+        "tenants.quota_per_s" => "projects.quotaPerS",
+        "max_attempts" => "limits.tryLimit",
+        "progress" => "extra.progress",
+        "cold_from" => "rules.coldFrom",
+        "fall_multiple" => "rules.fallMultiple",
+        "over_share_worth" => "overShareWorth",
+        "prices.cross_zone" => "prices.crossZone",
+        "prices.late_fail" => "prices.lateFail",
+        "budget.floor" => "rules.extraFloor",
+        "budget.ratio" => "rules.repeatRatio",
+        "budget.window" => "rules.lookBack",
+        "tail.weight" => "goal.tailPart",
+        "tail.tolerated" => "goal.tailMiss",
+        _ => return None,
+    })
+}
+
 fn effect(repeat: &str, group: Option<&str>) -> Result<sr::Effect, String> {
     Ok(match (repeat, group) {
         ("retryable", _) => sr::Effect::Safe,
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -231,6 +231,10 @@
     pub fall: Span,
 }
 
+/// Most that a tick, or the time between progress notes, may be: an hour. Multiples of them are reckoned
+/// with, and by far more they would overflow.
+const LONGEST: Span = Span(3_600_000_000_000);
+
 impl Settings {
     /// Whether the settings make sense.
     ///
@@ -246,7 +250,8 @@
             (self.number < self.dispatchers, "number"),
             (!self.classes.is_empty(), "classes"),
             (self.max_attempts > 0 && self.max_attempts < 255, "max_attempts"),
-            (self.tick.0 > 0, "tick"),
+            (self.tick.0 > 0 && self.tick <= LONGEST, "tick"),
+            (self.progress <= LONGEST, "progress"),
             (share(self.cold_from) && self.cold_from > 0.0, "cold_from"),
             (positive(self.fall_multiple), "fall_multiple"),
             (share(self.over_share_worth), "over_share_worth"),
