--- a/src/interface/validate.rs
+++ b/src/interface/validate.rs
@@ -1,9 +1,13 @@
 //! Which settings make sense. It names the first that does not, and must never mend one, nor decide
 //! anything beside that.
 
-use super::Settings;
+use super::{Settings, Span};
 use std::fmt;
 
+/// Most that a tick, or the time between progress notes, may be: an hour. Multiples of them are reckoned
+/// with, and by far more they would overflow.
+const LONGEST: Span = Span(3_600_000_000_000);
+
 impl Settings {
     /// Whether the settings make sense.
     ///
@@ -19,7 +23,8 @@
             (self.number < self.dispatchers, "number"),
             (!self.classes.is_empty(), "classes"),
             (self.max_attempts > 0 && self.max_attempts < 255, "max_attempts"),
-            (self.tick.0 > 0, "tick"),
+            (self.tick.0 > 0 && self.tick <= LONGEST, "tick"),
+            (self.progress <= LONGEST, "progress"),
             (share(self.cold_from) && self.cold_from > 0.0, "cold_from"),
             (positive(self.fall_multiple), "fall_multiple"),
             (share(self.over_share_worth), "over_share_worth"),
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code, unused_imports)]
 
 mod play;
+pub mod workers;
 mod world;
 
 pub use play::*;
