--- a/node/tests/common/halls.rs
+++ b/node/tests/common/halls.rs
@@ -4,7 +4,7 @@
 
 use crate::common::*;
 use serde_json::json;
-use std::io::{BufReader, Write};
+use std::io::Write;
 use std::net::TcpStream;
 
 pub const KEYS: &str = "[keys]\nkey_bytes = 256\n";
@@ -52,7 +52,13 @@
 }
 
 /// Sends a request and waits until the dispatcher has it.
-pub fn open(program: &Program, class: &str, key: &str, timeout: &str, body: &str) -> (TcpStream, String) {
+pub fn open_keyed(
+    program: &Program,
+    class: &str,
+    key: &str,
+    timeout: &str,
+    body: &str,
+) -> (TcpStream, String) {
     let id = new_id();
     let mut stream = TcpStream::connect(program.at).unwrap();
     let head = head(class, &id, key, timeout, "");
@@ -61,9 +67,8 @@
     (stream, id)
 }
 
-pub fn answer(stream: &TcpStream) -> (u16, String) {
-    stream.set_read_timeout(Some(PATIENCE)).unwrap();
-    let message = read_message(&mut BufReader::new(stream.try_clone().unwrap())).expect("an answer");
+pub fn outcome(stream: &TcpStream) -> (u16, String) {
+    let message = answer(stream).expect("an answer");
     (message.status(), message.body)
 }
 
--- a/node/tests/keys.rs
+++ b/node/tests/keys.rs
@@ -13,10 +13,10 @@
     for first_leaves in [false, true] {
         let halls = Halls::start();
         let program = halls.program(KEYS);
-        let (first, id) = open(&program, "wave-release", "k", "5000m", "hang");
+        let (first, id) = open_keyed(&program, "wave-release", "k", "5000m", "hang");
         let at = halls.wait("hang");
         let repeats: Vec<_> =
-            (0..3).map(|_| open(&program, "wave-release", "k", "5000m", "hang").0).collect();
+            (0..3).map(|_| open_keyed(&program, "wave-release", "k", "5000m", "hang").0).collect();
         program.log.wait(&format!("took {id}"), 1);
         if first_leaves {
             drop(first);
@@ -24,13 +24,13 @@
         } else {
             assert!(halls.runners.iter().all(|r| r.seen.count("DELETE") == 0));
             done(&program, &id, &format!("s-{at}"));
-            assert_eq!(answer(&first), (200, "made once".to_owned()));
+            assert_eq!(outcome(&first), (200, "made once".to_owned()));
         }
         if first_leaves {
             done(&program, &id, &format!("s-{at}"));
         }
         for repeat in &repeats {
-            assert_eq!(answer(repeat), (200, "made once".to_owned()));
+            assert_eq!(outcome(repeat), (200, "made once".to_owned()));
         }
         // And whoever comes later takes the result.
         assert_eq!(ask(&program, "wave-release", "k", "hang", ""), (200, "made once".to_owned()));
@@ -82,16 +82,16 @@
 fn a_repeat_of_what_may_have_run_never_reaches_another_hall() {
     let halls = Halls::start();
     let program = halls.program(KEYS);
-    let (first, id) = open(&program, "wave-release", "k", "400m", "hang");
+    let (first, id) = open_keyed(&program, "wave-release", "k", "400m", "hang");
     let at = halls.wait("hang");
-    assert_eq!(answer(&first).0, 502, "{id}: not done by its deadline");
+    assert_eq!(outcome(&first).0, 502, "{id}: not done by its deadline");
     // While its hall is there, a repeat goes to it.
-    assert_eq!(answer(&open(&program, "wave-release", "k", "300m", "hang").0).0, 502);
+    assert_eq!(outcome(&open_keyed(&program, "wave-release", "k", "300m", "hang").0).0, 502);
     halls.runners[at].seen.wait("POST hang", 2);
     let (name, hall) = [("s-0", "hall-a"), ("s-1", "hall-b")][at];
     halls.discovery.tell(&[host(name, halls.runners[at].at, hall, "left")]);
     program.log.wait("list Delta", 1);
-    let (status, _) = answer(&open(&program, "wave-release", "k", "300m", "hang").0);
+    let (status, _) = outcome(&open_keyed(&program, "wave-release", "k", "300m", "hang").0);
     assert_eq!(status, 502, "not a refusal either: another dispatcher might send it elsewhere");
     assert_eq!((halls.sent("hang"), halls.runners[1 - at].seen.count("POST")), (2, 0));
     // Another key is free to go there.
@@ -120,12 +120,12 @@
                "custom": custom})
         .to_string()
     };
-    let (http, id) = open(&program, "wave-release", "k", "5000m", "[\"hang\"]");
+    let (http, id) = open_keyed(&program, "wave-release", "k", "5000m", "[\"hang\"]");
     let at = halls.wait("hang");
     caller.send(&format!("PUSH {}", push("hang", json!({"key": "k"}))));
     program.log.wait("request j-", 1);
     done(&program, &id, &format!("s-{at}"));
-    assert_eq!(answer(&http), (200, "made once".to_owned()));
+    assert_eq!(outcome(&http), (200, "made once".to_owned()));
     assert_eq!(caller.line().unwrap(), "+OK");
     assert_eq!(halls.sent("hang"), 1);
     // The other way: pushed, then taken by HTTP.
