Believe a new report by half: a dozen dispatchers that see one low figure lean on it together

All of them see the same sight of a worker at once, and each takes it whole for what others have there now. Change: a report moves what is believed half of the way from what the worker's peers usually show (SIGHT).

--- a/src/balance/ledger.rs
+++ b/src/balance/ledger.rs
@@ -8,8 +8,8 @@
 const PACE_HALF_LIFE: f64 = 6.0;
 /// Time in which peers without news are believed idle again, in seconds (8, 30 and 120 were tried).
 const FORGET: f64 = 30.0;
-/// Gain of one sight in what a worker's peers show of their queues.
-const PEER_GAIN: f64 = 0.2;
+/// Gain of one sight in what a worker's peers show of their queues; how much a report tells of the present.
+const SIGHT: (f64, f64) = (0.2, 0.5);
 
 impl Balancer {
     /// How many times longer than the fleet's mean a job takes at this worker. Jobs that are still
@@ -54,7 +54,7 @@
         let w = &mut self.workers[i];
         (w.others, w.others_at) = (others.max(0.0), self.at);
         let group = &mut self.peers[w.group];
-        group.others += PEER_GAIN * (w.others - group.others);
+        group.others += SIGHT.0 * (w.others - group.others);
         group.seen_at = self.at;
     }
 
@@ -64,7 +64,7 @@
             return;
         }
         let (running, peers) = (self.workers[i].load.running, &mut self.peers[self.workers[i].group]);
-        let room = peers.slots;
+        let (room, usual) = (peers.slots, peers.others);
         peers.slots = room.max(report.free_slots.map_or(0.0, f64::round));
         peers.free = peers.free.max(report.free_slots.unwrap_or(0.0));
         let used = match (report.free_slots, report.inflight) {
@@ -72,7 +72,7 @@
             (Some(_), Some(inflight)) => Some(inflight.max(room)),
             (_, inflight) => inflight,
         };
-        used.into_iter().for_each(|used| self.see_others(i, used - running));
+        used.into_iter().for_each(|used| self.see_others(i, usual + SIGHT.1 * (used - running - usual)));
         // Errors a second, but for a single one, beside what is in hand: the whole fleet's losses, not own.
         if let (Some(errors), Some(inflight)) = (report.errors_per_s, report.inflight) {
             let share = (errors - 1.0) / (errors + inflight / self.mean_work).max(1.0);
