--- a/node/tests/common/halls.rs
+++ b/node/tests/common/halls.rs
@@ -4,7 +4,6 @@
 
 use crate::common::*;
 use serde_json::json;
-use std::io::Write;
 use std::net::TcpStream;
 
 pub const KEYS: &str = "[keys]\nkey_bytes = 256\n";
@@ -60,9 +59,7 @@
     body: &str,
 ) -> (TcpStream, String) {
     let id = new_id();
-    let mut stream = TcpStream::connect(program.at).unwrap();
-    let head = head(class, &id, key, timeout, "");
-    write!(stream, "{head}\r\nHost: t\r\nContent-Length: {}\r\n\r\n{body}", body.len()).unwrap();
+    let stream = begin(program, &head(class, &id, key, timeout, ""), body);
     program.log.wait(&format!("request {id} of class"), 1);
     (stream, id)
 }
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -26,8 +26,12 @@
 }
 
 pub fn open(program: &Program, class: &str, id: &str, timeout: &str, body: &str) -> TcpStream {
+    begin(program, &api(class, id, timeout, ""), body)
+}
+
+/// Writes a request whole, on a connection of its own.
+pub fn begin(program: &Program, head: &str, body: &str) -> TcpStream {
     let mut stream = TcpStream::connect(program.at).unwrap();
-    let head = api(class, id, timeout, "");
     write!(stream, "{head}\r\nHost: t\r\nContent-Length: {}\r\n\r\n{body}", body.len()).unwrap();
     stream
 }
--- a/src/balance/state.rs
+++ b/src/balance/state.rs
@@ -52,7 +52,7 @@
 #[derive(Default)]
 pub(super) struct Peers {
     pub(super) key: (KindId, ZoneId),
-    /// Usual time to a start note over an open connection, and over a new one.
+    /// Usual time to a start note over an open and a new connection; room by belief, most slots told free.
     pub(super) ways: [f64; 2],
     pub(super) slots: f64,
     pub(super) free: f64,
--- a/tests/agent.rs
+++ b/tests/agent.rs
@@ -26,10 +26,7 @@
         world.pass(ms(20));
         assert!(!world.sends().is_empty(), "the list is known");
         for (n, event) in [(2, Event::ListFailed), (3, Event::ListSilent)] {
-            for (id, attempt) in world.open() {
-                world.start(id, attempt);
-                world.end(id, attempt, Outcome::Ok);
-            }
+            serve(&mut world, Span(0));
             let sent = world.sends().len();
             world.event(event);
             world.arrive(n, 0);
--- a/tests/common/play.rs
+++ b/tests/common/play.rs
@@ -108,13 +108,18 @@
 
 /// Runs every attempt outstanding for `run` and ends it well.
 pub fn serve(world: &mut World, run: Span) {
+    serve_telling(world, run, None);
+}
+
+/// The same, with a report of this many requests in hand.
+pub fn serve_telling(world: &mut World, run: Span, inflight: Option<f64>) {
     let open = world.open();
     for &(id, attempt) in &open {
         world.start(id, attempt);
     }
     world.pass(run);
     for (id, attempt) in open {
-        world.end(id, attempt, Outcome::Ok);
+        world.end_with(id, attempt, Outcome::Ok, inflight);
     }
 }
 
--- a/tests/grid.rs
+++ b/tests/grid.rs
@@ -124,7 +124,7 @@
 /// among many sees a small part of the traffic and of each queue, so one bound for all would bind few cells.
 /// They lie 0.02 to 0.035 below the least part measured, and 0.01 to 0.03 above the most tries.
 const BOUNDS: [(usize, [f64; 2], f64); 3] =
-    [(1, [0.96, 0.96], 1.02), (3, [0.8, 0.86], 1.11), (12, [0.68, 0.71], 1.26)];
+    [(1, [0.96, 0.96], 1.02), (3, [0.8, 0.86], 1.11), (12, [0.68, 0.72], 1.23)];
 
 /// All cells with so many dispatchers; a lone one has all of the traffic either way.
 fn cells(dispatchers: usize) -> impl Iterator<Item = Cell> {
--- a/tests/shares.rs
+++ b/tests/shares.rs
@@ -99,10 +99,7 @@
         world.arrive_from(n, 0, Some(TenantId(u32::from(n >= 24))));
     }
     let before = world.sends().len();
-    for (id, attempt) in world.open() {
-        world.start(id, attempt);
-        world.end(id, attempt, Outcome::Ok);
-    }
+    serve(&mut world, Span(0));
     let next: Vec<_> = world.sends().split_off(before);
     assert!(next.iter().take(3).all(|(id, _)| id.0 >= 24), "{next:?}");
 }
@@ -129,14 +126,7 @@
     world.list(ListKind::Saved, vec![worker(0)]);
     for n in 0..20 {
         world.arrive(n, 0);
-        let open = world.open();
-        for &(id, attempt) in &open {
-            world.start(id, attempt);
-        }
-        world.pass(ms(100));
-        for (id, attempt) in open {
-            world.end_with(id, attempt, Outcome::Ok, Some(9.0));
-        }
+        serve_telling(&mut world, ms(100), Some(9.0));
     }
     let sent = world.requests.values().filter(|known| !known.attempts.is_empty()).count();
     assert!(sent >= 18, "{sent} of 20 were sent to a worker whose old report says nine in hand");
