Take one absurd hint, patience, size or report for no more than an odd one

Cause: figures of a single peer went unbounded into what all others are judged by. One request with X-Cost 0.001 (a hint of 1 ns) made its worker's kind and zone 1e8 times slower by belief: of 20 usual hinted requests after it none was sent. One report of 1e300 jobs in hand emptied the group of its worker; NaN in X-Server-Load went on into the prices.

--- a/settings/src/tables.rs
+++ b/settings/src/tables.rs
@@ -67,8 +67,9 @@
 }
 
 impl Field {
-    /// Puts a value where it belongs.
+    /// Puts a value where it belongs; what is no figure (`NaN`, infinite, below zero) is not told.
     pub fn set(self, report: &mut sr::Report, value: Option<f64>) {
+        let value = value.filter(|value| value.is_finite() && *value >= 0.0);
         match self {
             Field::Inflight => report.inflight = value,
             Field::Latency => report.latency = value.map(|ms| sr::Span::from_secs(ms / 1e3)),
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -29,6 +29,8 @@
 const MISS_LIMIT: f64 = 0.5;
 /// A while without events that may be a stall of this dispatcher, in seconds.
 const STALL: f64 = 0.3;
+/// Times what is usual beyond which a figure is taken for no more: a single absurd one must cost nobody else.
+const ODD: f64 = 16.0;
 const PUMP: u64 = 1 << 62;
 const HOUSEKEEPING: u64 = PUMP + 1;
 const SUBSCRIBE: u64 = PUMP + 2;
@@ -170,10 +172,10 @@
     }
 }
 
-/// Takes a sight into a mean of 200 at the most: the mean, and how many it is of.
+/// Takes a sight, within `ODD`, into a mean of 200 at the most: the mean, and how many it is of.
 fn learn((mean, seen): &mut (f64, f64), sight: f64, least: f64) {
     *seen = (*seen + 1.0).min(200.0);
-    *mean = (*mean + (sight - *mean) / *seen).max(least);
+    *mean = (*mean + (sight.clamp(*mean / ODD, *mean * ODD) - *mean) / *seen).max(least);
 }
 
 /// What is left of a count after a time.
--- a/src/balance/ledger.rs
+++ b/src/balance/ledger.rs
@@ -30,7 +30,7 @@
     /// Books that a job, or the mean one of a report, took `ratio` times what is usual.
     pub(super) fn show_pace(&mut self, i: usize, ratio: f64) {
         let w = &mut self.workers[i];
-        let keep = left(self.at - w.shown_at, PACE_HALF_LIFE);
+        let (keep, ratio) = (left(self.at - w.shown_at, PACE_HALF_LIFE), ratio.min(ODD));
         (w.shown, w.took, w.shown_at) = (w.shown * keep + 1.0, w.took * keep + ratio, self.at);
         let peers = &mut self.peers[w.group];
         (peers.shown, peers.took) = (peers.shown * 0.995 + 1.0, peers.took * 0.995 + ratio);
@@ -52,9 +52,9 @@
 
     pub(super) fn see_others(&mut self, i: usize, others: f64) {
         let w = &mut self.workers[i];
-        (w.others, w.others_at) = (others.max(0.0), self.at);
         let group = &mut self.peers[w.group];
-        group.others += SIGHT.0 * (w.others - group.others);
+        (w.others, w.others_at) = (others.clamp(0.0, group.slots * ODD), self.at);
+        group.others += SIGHT.0 * (w.others.min(group.slots * 2.0) - group.others);
         group.seen_at = self.at;
     }
 
@@ -79,9 +79,8 @@
             self.book(i, 0, share.max(self.missed(i, 0)));
         }
         if let Some(latency) = report.latency.map(Span::secs).filter(|latency| *latency > 0.0) {
-            let mean = latency / self.slowness(i);
-            let gain = if self.base_latency == 0.0 { 1.0 } else { 0.05 };
-            self.base_latency += gain * (mean - self.base_latency);
+            let (mean, base) = (latency / self.slowness(i), self.base_latency);
+            self.base_latency += if base == 0.0 { mean } else { 0.05 * (mean.min(base * ODD) - base) };
             self.show_pace(i, latency / self.base_latency);
         }
     }
--- a/src/balance/line.rs
+++ b/src/balance/line.rs
@@ -17,13 +17,13 @@
         let over_share = tenant.is_some_and(|t| self.over_share(t.0 as usize, arrival.retry));
         let (settings, stat) = (&self.settings.classes[c], &mut self.classes[c]);
         // A later try carries the first one's deadline: what is missing is its age, but not over two thirds.
-        let window = (deadline - self.now).secs();
+        let window = (deadline - self.now).min(settings.deadline).secs();
         stat.longest = stat.longest.max(window);
         let retry = if self.settings.marks_retries { arrival.retry } else { window > stat.longest / 3.0 };
         let age = if retry { (stat.longest - window).max(0.0) } else { 0.0 };
-        let hint = estimate.secs();
-        let work = if hint > 0.0 { hint * self.scale.0 } else { stat.mean.0 };
-        let mean = stat.mean.0;
+        let (mean, scale) = (stat.mean.0, self.scale.0);
+        let hint = estimate.secs().min(mean / scale * ODD * ODD);
+        let work = if hint > 0.0 { (hint * scale).max(mean / ODD / ODD) } else { mean };
         let start_by = |share: f64| {
             let slack =
                 settings.objective.secs() + share * (settings.stretch - 1.0).max(0.0) * mean.max(work);
@@ -36,7 +36,7 @@
             Effect::Unsafe => deadline,
             _ => start_by(2.0),
         };
-        self.mean_work += 0.03 * (mean * slots - self.mean_work);
+        self.mean_work += 0.03 * ((mean * slots).min(self.mean_work * ODD) - self.mean_work);
         let rank = (work * slots / settings.worth * 1e6) as u64;
         let by_work = self.settings.worth_by_work;
         let dear = |class: &Class, stat: &ClassStat| class.worth / if by_work { 1.0 } else { stat.mean.0 };
@@ -57,8 +57,8 @@
 
     pub(super) fn watch_deadline(&mut self, id: RequestId, deadline: Time) {
         self.requests.entry(id).and_modify(|request| request.deadline = deadline);
-        let margin = Span(self.settings.tick.0 * 2);
-        self.out.push(Action::Timer((deadline - margin).max(self.now), u64::from(id.0) << 8));
+        let at = (deadline - Span(self.settings.tick.0 * 2)).max(self.now);
+        self.out.push(Action::Timer(at, u64::from(id.0) << 8));
     }
 
     /// Whether the tenant's requests exceed its share of what comes here. Which part of the fleet's traffic
@@ -89,8 +89,7 @@
         for (_, _, id) in line {
             let request = &self.requests[&id];
             let what = (request.class, request.slots, self.may_have_run(request).map(|p| (p.zone, p.cell)));
-            let latest = request.latest;
-            let turn = self.turn_at(id);
+            let (latest, turn) = (request.latest, self.turn_at(id));
             if self.now >= latest || turn.is_none_or(|turn| turn >= latest) {
                 self.settle(id);
             } else if turn == Some(self.now) && failed.len() < 8 && !failed.contains(&what) {
