The node is a library with a thin binary, so that test files reach its parts

Need: tests are to live in test files, and a binary crate's parts can't be reached from there. Change: node/src/lib.rs declares, public, the modules that main.rs declared; main.rs keeps the order of starting and stopping and uses them from sablerun_node. The binary's name, its one process and its run line stay. The log's target of a line is now sablerun_node::... (a filter RUST_LOG=sablerun still matches by its prefix).

--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -1,32 +1,19 @@
 //! The dispatcher `sablerun`: reads what it is told, opens its sockets and runs until it is told to
 //! end. It owns the order of starting and stopping and must never decide or translate anything.
 
-mod bans;
-mod by_hand;
-mod cli;
-mod config;
-mod core;
-mod figures;
-mod jobs_cli;
-mod limits;
-mod logging;
-mod net;
-mod operator;
-mod runtime;
-mod snapshots;
-
-use crate::by_hand::{carry_out, follow_bans};
-use crate::cli::{Cli, Command};
-use crate::config::{Config, read_config, reload};
-use crate::core::{Core, Input};
-use crate::limits::Limits;
-use crate::net::faktory::Faktory;
-use crate::net::{discovery, platform, runners};
-use crate::operator::Operator;
-use crate::runtime::{Clock, Runtime};
 use clap::Parser;
 use sablerun as sr;
 use sablerun_keys as keys;
+use sablerun_node::by_hand::{carry_out, follow_bans};
+use sablerun_node::cli::{Cli, Command};
+use sablerun_node::config::{Config, read_config, reload};
+use sablerun_node::core::{Core, Input};
+use sablerun_node::limits::Limits;
+use sablerun_node::net::faktory::Faktory;
+use sablerun_node::net::{discovery, platform, runners};
+use sablerun_node::operator::Operator;
+use sablerun_node::runtime::{Clock, Runtime};
+use sablerun_node::{bans, cli, core, jobs_cli, logging, net, snapshots};
 use serde_json::Value;
 use std::process::ExitCode;
 use std::rc::Rc;
