The node's and the settings' tests stand in test files, the reducer's model split by concern

Change: a move without change of behaviour. core/model.rs becomes tests/model (steps, world, rules, take, main); net/faktory/model.rs becomes tests/faktory_model.rs; the tests of objects, identities, the door, the register of doors and the handed-down socket stand in tests/wires.rs, those of bans, the operator's file, figures and limits in tests/files.rs with the settings they need in tests/common/env.rs; renew's in settings/tests/renew.rs. Public for them: Core::kept (in place of two private maps), door::carry_out, Operator::parse, operator::Keys::check, Faktory::plain_peer and converse with Peer. No cfg(test) is left in either src.

--- a/node/src/bans.rs
+++ b/node/src/bans.rs
@@ -31,14 +31,3 @@
     std::fs::write(&new, text)?;
     std::fs::rename(&new, file)
 }
-
-#[test]
-fn names_come_back_as_written() {
-    let folder = tempfile::tempdir().unwrap();
-    let file = folder.path().join("sablerun-bans");
-    assert!(read(&file).unwrap().is_empty());
-    write(&file, ["s-1", "s-0"]).unwrap();
-    assert_eq!(read(&file).unwrap().into_iter().collect::<Vec<_>>(), ["s-0", "s-1"]);
-    write(&file, []).unwrap();
-    assert!(read(&file).unwrap().is_empty());
-}
--- a/node/src/core.rs
+++ b/node/src/core.rs
@@ -17,8 +17,6 @@
 mod input;
 mod keyed;
 mod lists;
-#[cfg(test)]
-mod model;
 mod module;
 mod requests;
 mod retune;
@@ -165,6 +163,11 @@
         self.tickets.len()
     }
 
+    /// Requests kept, answered or not, and the ids that runners know them by: none once nothing is under way.
+    pub fn kept(&self) -> (usize, usize) {
+        (self.requests.len(), self.ids.len())
+    }
+
     /// What has been counted so far.
     pub fn tally(&self) -> Tally {
         self.tally
--- a/node/src/figures.rs
+++ b/node/src/figures.rs
@@ -126,27 +126,3 @@
         page
     }
 }
-
-#[test]
-fn the_page_names_each_class_and_figure_once() {
-    let figures = Figures::default();
-    figures.class("bin-check").count(Counted::Answered);
-    figures.class("bin-check").count(Counted::Errored);
-    figures.class("pick-route").count(Counted::Deferred);
-    Figures::add(&figures.sends);
-    Figures::set(&figures.current, 14);
-    let page = figures.page();
-    for line in [
-        "transactions.bin-check.answered=1",
-        "transactions.bin-check.deferred=0",
-        "transactions.bin-check.errored=1",
-        "transactions.pick-route.deferred=1",
-        "sends=1",
-        "current=14",
-        "cluster_size=0",
-        "conf_invalid=0",
-    ] {
-        assert_eq!(page.lines().filter(|l| *l == line).count(), 1, "{line} in {page}");
-    }
-    assert_eq!(page.lines().count(), 6 + 6);
-}
--- a/node/src/limits.rs
+++ b/node/src/limits.rs
@@ -147,25 +147,3 @@
         }
     }
 }
-
-/// Settings that a test needs for no more than their limits.
-#[cfg(test)]
-pub fn test_env() -> Env {
-    let text = r#"{"balancers":1,"services":[],"failureDomains":[],"zone":"a","membershipMode":"pushed",
-        "limits":{"tryLimit":3,"connIdle":10000000000,"connectTimeout":250000000},"tick":1000000,
-        "reporting":{},"rules":{"coldFrom":1,"warmAfter":1,"fallMultiple":1,"fall":1,"drainGrace":1}}"#;
-    serde_json::from_str(text).expect("the text is right")
-}
-
-#[test]
-fn the_parts_fit_into_the_descriptors_and_idle_connections_are_dropped_in_time() {
-    for sockets in [1024, 4096] {
-        let limits = Limits::new(sockets, 192, &test_env(), true);
-        assert!(limits.clients + limits.callers + limits.runners + 40 <= sockets);
-        assert!(limits.idle <= Duration::from_secs(8));
-        assert!(limits.open * limits.body <= 192 * 1024 * 1024 / 2);
-        assert_eq!(Limits::new(sockets, 192, &test_env(), false).callers, 0);
-        let told = sablerun::Settings::default().told_within;
-        assert!(limits.watch_silence + Duration::from_nanos(told.0) <= Duration::from_secs(6));
-    }
-}
--- a/node/src/net/door.rs
+++ b/node/src/net/door.rs
@@ -192,7 +192,7 @@
     }
 }
 
-async fn carry_out(
+pub async fn carry_out(
     call: Call,
     figures: &Figures,
     asks: &mpsc::UnboundedSender<Asked>,
@@ -228,35 +228,3 @@
     // What the caller sent beyond its call is dropped unread; a reset then is no loss.
     let _ = tokio::time::timeout(Duration::from_millis(50), stream.read(&mut [0u8; 64])).await;
 }
-
-#[cfg(test)]
-mod tests {
-    use super::{Call, DoorLimits, carry_out, parse};
-    use crate::figures::Figures;
-    use tokio::sync::mpsc;
-
-    /// A change that the serving thread never carries out is answered with a whole line all the same.
-    #[test]
-    fn a_change_not_carried_out_in_time_gets_a_whole_line() {
-        let runtime = tokio::runtime::Builder::new_current_thread().enable_time().build().unwrap();
-        let (asks, _held) = mpsc::unbounded_channel();
-        let limits = DoorLimits { serving: std::time::Duration::from_millis(1), ..DoorLimits::default() };
-        let figures = Figures::default();
-        let said = runtime.block_on(carry_out(Call::Disable("s-0".into()), &figures, &asks, limits));
-        assert_eq!(said, "ERR not carried out within 1 ms: call again\n");
-    }
-
-    #[test]
-    fn calls_are_read_and_what_is_wrong_is_named() {
-        assert_eq!(parse(b"READY\n"), Ok(Call::Ready));
-        assert_eq!(parse(b"stats\r\n"), Ok(Call::Stats));
-        assert_eq!(parse(b"DISABLE s-0badcafe\n"), Ok(Call::Disable("s-0badcafe".into())));
-        assert_eq!(parse(b"ENABLE s-1"), Ok(Call::Enable("s-1".into())));
-        assert!(parse(b"\n").unwrap_err().starts_with("empty call"));
-        assert!(parse(b"DISABLE\n").unwrap_err().contains("which runner"));
-        assert!(parse(b"READY now\n").unwrap_err().contains("takes no argument"));
-        assert!(parse(b"DISABLE a b\n").unwrap_err().contains("too many words"));
-        assert!(parse(b"DRAIN s-1\n").unwrap_err().contains("unknown call \"DRAIN\""));
-        assert!(parse(&[0xff, b'\n']).unwrap_err().contains("UTF-8"));
-    }
-}
--- a/node/src/net/faktory.rs
+++ b/node/src/net/faktory.rs
@@ -27,9 +27,6 @@
 use tokio::sync::{Notify, oneshot};
 use tokio_rustls::TlsAcceptor;
 
-#[cfg(test)]
-mod model;
-
 /// The section `faktory` of the operator's file.
 #[derive(Clone, Debug, serde::Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -193,7 +190,7 @@
 
 /// Who is at the other end of a connection, and what that allows.
 #[derive(Clone)]
-struct Peer {
+pub struct Peer {
     name: String,
     client: bool,
     worker: bool,
@@ -402,7 +399,7 @@
         }
     }
 
-    fn plain_peer(&self, from: SocketAddr) -> Peer {
+    pub fn plain_peer(&self, from: SocketAddr) -> Peer {
         let name = from.ip().to_string();
         Peer { name, client: true, worker: true, member: None, zone: None, kind: None }
     }
@@ -427,7 +424,7 @@
 
     // ---- conversations ----
 
-    async fn converse<S: AsyncRead + AsyncWrite + Unpin>(self: Rc<Self>, stream: S, peer: Peer) {
+    pub async fn converse<S: AsyncRead + AsyncWrite + Unpin>(self: Rc<Self>, stream: S, peer: Peer) {
         self.numbers.set(self.numbers.get() + 1);
         let number = self.numbers.get();
         let Limits { frame: most, body_wait: pace, .. } = self.runtime.limits;
--- a/node/src/net/inherit.rs
+++ b/node/src/net/inherit.rs
@@ -52,15 +52,3 @@
         Err(e) => Err(format!("can't be asked whether it listens ({e})")),
     }
 }
-
-#[cfg(test)]
-mod tests {
-    use super::take;
-
-    #[test]
-    fn what_is_no_listening_socket_is_named() {
-        assert!(take("five").unwrap_err().contains("is no descriptor number"));
-        assert!(take("2").unwrap_err().contains("standard stream"));
-        assert!(take("1000000").unwrap_err().contains("is not open"));
-    }
-}
--- a/node/src/net/spiffe.rs
+++ b/node/src/net/spiffe.rs
@@ -268,31 +268,3 @@
         self.0.provider.signature_verification_algorithms.supported_schemes()
     }
 }
-
-#[test]
-fn ids_are_read_as_their_document_says() {
-    let id = SpiffeId::parse("spiffe://karachi-east.example/pick-node/7").unwrap();
-    assert_eq!(id.trust_domain(), "karachi-east.example");
-    assert!(SpiffeId::parse("spiffe://example.org").is_ok());
-    for bad in [
-        "",
-        "example.org/a",
-        "https://example.org/a",
-        "spiffe://",
-        "spiffe:///a",
-        "spiffe://Example.org/a",
-        "spiffe://example.org:80/a",
-        "spiffe://me@example.org/a",
-        "spiffe://example.org/",
-        "spiffe://example.org/a/",
-        "spiffe://example.org//a",
-        "spiffe://example.org/./a",
-        "spiffe://example.org/a/../b",
-        "spiffe://example.org/a?b",
-        "spiffe://example.org/a#b",
-        "spiffe://example.org/a%20b",
-    ] {
-        assert!(SpiffeId::parse(bad).is_err(), "{bad:?}");
-    }
-    assert!(SpiffeId::parse(&format!("spiffe://example.org/{}", "a".repeat(2048))).is_err());
-}
--- a/node/src/operator.rs
+++ b/node/src/operator.rs
@@ -85,7 +85,7 @@
 
     /// The same from the file's text. A file that holds the Faktory front's keys at its top, as files did
     /// before there were sections, is understood as that section alone.
-    fn parse(text: &str) -> Result<Operator, String> {
+    pub fn parse(text: &str) -> Result<Operator, String> {
         let table: toml::Table = toml::from_str(text).map_err(|e| at(text, e.span(), e.message()))?;
         if !table.contains_key("listen") {
             return section(text);
@@ -134,7 +134,7 @@
 }
 
 impl Keys {
-    fn check(&self, memory_mb: usize) -> Result<(), String> {
+    pub fn check(&self, memory_mb: usize) -> Result<(), String> {
         if self.entries == 0 || self.entries > 100_000_000 {
             return Err("entries: from 1 to 100000000".to_owned());
         }
@@ -200,26 +200,3 @@
         }
     }
 }
-
-#[test]
-fn an_error_names_the_key_and_its_line() {
-    let error = |text: &str| Operator::parse(text).unwrap_err();
-    assert!(error("[keys]\nentries = 5\nentires = 6\n").starts_with("line 3: keys.entires: unknown field"));
-    assert!(error("[keys]\nentries = \"many\"\n").starts_with("line 2: keys.entries: invalid type"));
-    assert!(error("[keys]\n\n[keys.snapshot]\nevery_s = 1\n").contains("missing field `file`"));
-    assert!(error("[kees]\n").starts_with("line 1: kees: unknown field"));
-    assert!(error("a = \n").starts_with("line 1: "));
-    assert!(error("listen = \"127.0.0.1:1\"\n[keys]\n").starts_with("keys: the Faktory front's keys stand"));
-    let check = |text: &str| Operator::parse(text).unwrap().keys.unwrap().check(192).unwrap_err();
-    assert_eq!(check("[keys]\nmemory_mb = 97\n"), "memory_mb: from 1 to 96, half of the machine's");
-    assert_eq!(check("[keys]\nmember_share = 0\n"), "member_share: above 0, and 1 at the most");
-    assert_eq!(check("[keys]\nremember_s = -1\n"), "remember_s: from 0 to 86400");
-}
-
-#[test]
-fn the_files_under_deploy_are_understood() {
-    for name in ["gateway.toml", "keys.toml"] {
-        let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("../deploy").join(name);
-        Operator::read(&path).unwrap();
-    }
-}
--- a/node/src/net/faktory/model.rs
+++ b/node/tests/faktory_model.rs
@@ -1,14 +1,19 @@
 //! Random lines against a model of a Faktory connection's states: new, a client's, a worker's, closed.
 //! Whatever comes, cut anywhere, the reply is the one that the state allows.
 
-use super::*;
-use crate::core::Core;
-use crate::limits::Limits;
-use crate::runtime::Clock;
+#[path = "common/env.rs"]
+mod env;
+
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
+use sablerun as sr;
+use sablerun_node::core::Core;
+use sablerun_node::limits::Limits;
+use sablerun_node::net::faktory::Faktory;
+use sablerun_node::runtime::{Clock, Runtime};
 use sablerun_settings::{Names, Tables};
-use tokio::io::{AsyncBufReadExt, BufReader};
+use std::rc::Rc;
+use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
 
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum State {
@@ -79,7 +84,7 @@
     let (names, classes) = (Names::default, Names::of([&"c".to_owned()]));
     let (workers, zones, kinds, tenants) = (names(), names(), names(), names());
     let tables = Tables { workers, zones, kinds, classes, tenants, fields: Vec::new() };
-    let env = crate::limits::test_env();
+    let env = env::test_env();
     let limits = Limits::new(1024, 192, &env, true);
     let clock = Clock::new();
     let core =
--- /dev/null
+++ b/node/tests/files.rs
@@ -0,0 +1,84 @@
+//! What stands in files and figures: the file of bans, the operator's file, the page of figures, and the
+//! limits that are worked out from the settings. It owns what their words and sums are, apart from any socket.
+
+#[path = "common/env.rs"]
+mod env;
+
+use env::test_env;
+use sablerun_node::bans::{read, write};
+use sablerun_node::figures::{Counted, Figures};
+use sablerun_node::limits::Limits;
+use sablerun_node::operator::Operator;
+use std::path::Path;
+use std::time::Duration;
+
+#[test]
+fn names_come_back_as_written() {
+    let folder = tempfile::tempdir().unwrap();
+    let file = folder.path().join("sablerun-bans");
+    assert!(read(&file).unwrap().is_empty());
+    write(&file, ["s-1", "s-0"]).unwrap();
+    assert_eq!(read(&file).unwrap().into_iter().collect::<Vec<_>>(), ["s-0", "s-1"]);
+    write(&file, []).unwrap();
+    assert!(read(&file).unwrap().is_empty());
+}
+
+#[test]
+fn an_error_names_the_key_and_its_line() {
+    let error = |text: &str| Operator::parse(text).unwrap_err();
+    assert!(error("[keys]\nentries = 5\nentires = 6\n").starts_with("line 3: keys.entires: unknown field"));
+    assert!(error("[keys]\nentries = \"many\"\n").starts_with("line 2: keys.entries: invalid type"));
+    assert!(error("[keys]\n\n[keys.snapshot]\nevery_s = 1\n").contains("missing field `file`"));
+    assert!(error("[kees]\n").starts_with("line 1: kees: unknown field"));
+    assert!(error("a = \n").starts_with("line 1: "));
+    assert!(error("listen = \"127.0.0.1:1\"\n[keys]\n").starts_with("keys: the Faktory front's keys stand"));
+    let check = |text: &str| Operator::parse(text).unwrap().keys.unwrap().check(192).unwrap_err();
+    assert_eq!(check("[keys]\nmemory_mb = 97\n"), "memory_mb: from 1 to 96, half of the machine's");
+    assert_eq!(check("[keys]\nmember_share = 0\n"), "member_share: above 0, and 1 at the most");
+    assert_eq!(check("[keys]\nremember_s = -1\n"), "remember_s: from 0 to 86400");
+}
+
+#[test]
+fn the_files_under_deploy_are_understood() {
+    for name in ["gateway.toml", "keys.toml"] {
+        let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("../deploy").join(name);
+        Operator::read(&path).unwrap();
+    }
+}
+
+#[test]
+fn the_page_names_each_class_and_figure_once() {
+    let figures = Figures::default();
+    figures.class("bin-check").count(Counted::Answered);
+    figures.class("bin-check").count(Counted::Errored);
+    figures.class("pick-route").count(Counted::Deferred);
+    Figures::add(&figures.sends);
+    Figures::set(&figures.current, 14);
+    let page = figures.page();
+    for line in [
+        "transactions.bin-check.answered=1",
+        "transactions.bin-check.deferred=0",
+        "transactions.bin-check.errored=1",
+        "transactions.pick-route.deferred=1",
+        "sends=1",
+        "current=14",
+        "cluster_size=0",
+        "conf_invalid=0",
+    ] {
+        assert_eq!(page.lines().filter(|l| *l == line).count(), 1, "{line} in {page}");
+    }
+    assert_eq!(page.lines().count(), 6 + 6);
+}
+
+#[test]
+fn the_parts_fit_into_the_descriptors_and_idle_connections_are_dropped_in_time() {
+    for sockets in [1024, 4096] {
+        let limits = Limits::new(sockets, 192, &test_env(), true);
+        assert!(limits.clients + limits.callers + limits.runners + 40 <= sockets);
+        assert!(limits.idle <= Duration::from_secs(8));
+        assert!(limits.open * limits.body <= 192 * 1024 * 1024 / 2);
+        assert_eq!(Limits::new(sockets, 192, &test_env(), false).callers, 0);
+        let told = sablerun::Settings::default().told_within;
+        assert!(limits.watch_silence + Duration::from_nanos(told.0) <= Duration::from_secs(6));
+    }
+}
--- /dev/null
+++ b/settings/tests/renew.rs
@@ -0,0 +1,47 @@
+//! New settings brought in line with those in force: which numbers classes and tenants keep. It owns the
+//! rule that a number stands for the same terms for as long as the program runs.
+
+use sablerun as sr;
+use sablerun_settings::{Env, renew};
+
+fn env(services: &str, projects: &str) -> Env {
+    let text = format!(
+        r#"{{"balancers":2,"services":[{services}],"failureDomains":["a","b"],"zone":"b",
+        "membershipMode":"pushed","limits":{{"tryLimit":3}},"tick":1000000,"reporting":{{}},
+        "projects":[{projects}],
+        "rules":{{"coldFrom":1,"warmAfter":1,"fallMultiple":1,"fall":1,"drainGrace":1}}}}"#
+    );
+    serde_json::from_str(&text).unwrap()
+}
+
+fn class(name: &str, repeat: &str) -> String {
+    format!(
+        r#"{{"name":"{name}","objective":1000,"deadline":5000,"importance":1,"repeat":"{repeat}","window":9}}"#
+    )
+}
+
+#[test]
+fn a_class_keeps_its_number_until_its_terms_change_and_has_it_back_with_them() {
+    let (pick, bin, wave) = (class("pick", "retryable"), class("bin", "retryable"), class("wave", "dedup"));
+    let member = |name: &str, quota: u32| format!(r#"{{"name":"{name}","quotaPerS":{quota}}}"#);
+    let first = env(&format!("{pick},{bin}"), &format!("{},{}", member("m", 5), member("n", 6)));
+    let (settings, mut tables) = first.settle().unwrap();
+    // `pick` goes, `wave` comes, `bin` becomes stricter; `m` goes and `o` comes before `n`.
+    let strict = class("bin", "fragile");
+    let second = env(&format!("{wave},{strict}"), &format!("{},{}", member("o", 7), member("n", 8)));
+    let (new, names) = second.settle().unwrap();
+    let renewed = renew(&settings, &mut tables, new, &names);
+    assert_eq!(renewed.classes, [2, 3]);
+    let effects: Vec<_> = renewed.settings.classes.iter().map(|class| class.effect).collect();
+    let keyed = sr::Effect::Keyed(sr::Group::All);
+    assert_eq!(effects, [sr::Effect::Safe, sr::Effect::Safe, keyed, sr::Effect::Unsafe]);
+    assert_eq!((tables.classes.get("bin"), tables.classes.name(1)), (Some(3), "bin"));
+    let quotas: Vec<_> = renewed.settings.tenants.iter().map(|tenant| tenant.quota_per_s).collect();
+    assert_eq!((quotas, tables.tenants.get("n")), (vec![0.0, 8.0, 7.0], Some(1)));
+    assert_eq!(renewed.settings.zone, settings.zone);
+    // Back to the first: the old numbers again, and nothing grows.
+    let (new, names) = first.settle().unwrap();
+    let renewed = renew(&renewed.settings, &mut tables, new, &names);
+    assert_eq!((renewed.classes, renewed.settings.classes.len()), (vec![0, 1], 4));
+    assert_eq!((tables.classes.get("bin"), tables.classes.all().len()), (Some(1), 4));
+}
