Split the link to runners by concern: attempts, connections, reports

The link stays there; what an attempt is on the wire, the pool of connections and load reports have files of their own. No change of behaviour.

--- /dev/null
+++ b/node/src/net/runners/attempt.rs
@@ -0,0 +1,90 @@
+//! One attempt on the wire: the request as a runner gets it, and what its answer or the end of the
+//! connection means. It owns those two. It must never send a request a second time, nor take for unsent
+//! what may have been written whole.
+
+use super::Runners;
+use crate::core::Ending;
+use crate::runtime::Job;
+use awc::error::{ConnectError, SendRequestError};
+use awc::http::StatusCode;
+use bytes::Bytes;
+use sablerun as sr;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// What a runner says to an attempt.
+pub enum Answered {
+    Taken,
+    /// The request itself is at fault.
+    Unusable,
+    Ended(Ending),
+}
+
+impl Runners {
+    /// Makes one attempt: what the runner answers, if only that it has taken it.
+    pub async fn attempt(&self, at: SocketAddr, id: &str, job: &Job, wait: Duration) -> Answered {
+        let mut request = self
+            .client
+            .post(format!("http://{at}{}", job.target))
+            .address(at)
+            .no_decompress()
+            .insert_header(("X-Request-ID", id))
+            .insert_header(("X-Timeout", format!("{}m", wait.as_millis())))
+            .insert_header(("X-Priority-Class", job.class.as_str()));
+        if let Some(tenant) = &job.tenant {
+            request = request.insert_header(("X-Tenant-Id", tenant.as_str()));
+        }
+        if let Some(key) = &job.key {
+            request = request.insert_header(("Idempotency-Key", key.as_str()));
+        }
+        if let Some(kind) = &job.content_type {
+            request = request.insert_header(("Content-Type", kind.as_str()));
+        }
+        let mut response = match request.send_body(job.body.clone()).await {
+            Ok(response) => response,
+            Err(e) => {
+                log::debug!("attempt {id} at {at}: {e}");
+                return Answered::Ended(Ending::bare(unanswered(&e)));
+            }
+        };
+        let (status, report) = (response.status(), self.header_report(response.headers()));
+        let turned_away = response.headers().get("X-Not-Processed").is_some_and(|v| v.as_bytes() == b"1");
+        let ended = |outcome| Answered::Ended(Ending { outcome, result: Bytes::new(), report });
+        let answered = match status {
+            StatusCode::ACCEPTED => Answered::Taken,
+            StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if turned_away => {
+                ended(sr::Outcome::Full)
+            }
+            StatusCode::INTERNAL_SERVER_ERROR => ended(sr::Outcome::Error),
+            StatusCode::BAD_REQUEST => {
+                log::info!("runner at {at} can't use request {id}");
+                Answered::Unusable
+            }
+            other => {
+                log::warn!("runner at {at} answered {other} to attempt {id}: taken for an error");
+                ended(sr::Outcome::Error)
+            }
+        };
+        // What a body holds is of no use, but unread it would cost the connection.
+        if let Some(runtime) = self.runtime.upgrade() {
+            let (wait, most) = (runtime.limits.give_up, runtime.limits.body);
+            actix_rt::spawn(async move {
+                let _ = tokio::time::timeout(wait, response.body().limit(most)).await;
+            });
+        }
+        answered
+    }
+}
+
+/// The outcome of an attempt that got no answer. Only what failed before the request's last byte was
+/// written proves that it never ran. Guards against awc's word for a connection that ended while the
+/// answer was awaited: it is a `Connect` error too.
+fn unanswered(error: &SendRequestError) -> sr::Outcome {
+    match error {
+        SendRequestError::Connect(ConnectError::Disconnected) => sr::Outcome::Reset,
+        SendRequestError::Connect(_) | SendRequestError::Send(_) | SendRequestError::Url(_) => {
+            sr::Outcome::ConnectFailed
+        }
+        _ => sr::Outcome::Reset,
+    }
+}
--- /dev/null
+++ b/node/src/net/runners/pool.rs
@@ -0,0 +1,180 @@
+//! The pool of connections to runners. It owns every connection, from its opening within the limit to its
+//! close, and knows which are idle. It must never read or write anything by itself, nor close a connection on
+//! which an answer is awaited.
+
+use crate::limits::Limits;
+use actix_codec::{AsyncRead, AsyncWrite, ReadBuf};
+use actix_rt::net::{ActixStream, Ready, TcpStream};
+use actix_tls::connect::{ConnectError as TcpError, ConnectInfo, Connection};
+use awc::http::Uri;
+use awc::{Client, Connector};
+use futures_util::future::LocalBoxFuture;
+use std::cell::{Cell, RefCell};
+use std::io;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::rc::{Rc, Weak};
+use std::task::{Context, Poll};
+use std::time::{Duration, Instant};
+
+/// What is behind one pooled connection.
+struct Wire {
+    stream: RefCell<Option<TcpStream>>,
+    at: SocketAddr,
+    /// Something was written and nothing has been read since.
+    awaiting: Cell<bool>,
+    touched: Cell<Instant>,
+}
+
+/// A connection as awc holds it. awc drops idle ones only when it next wants one to the same place,
+/// so the pool can close what is below: awc reads the end of the stream then, and drops its part.
+#[derive(Clone)]
+pub struct Io(Rc<Wire>);
+
+impl std::fmt::Debug for Io {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "connection to {}", self.0.at)
+    }
+}
+
+impl Io {
+    fn with<T>(&self, closed: T, poll: impl FnOnce(Pin<&mut TcpStream>) -> Poll<T>) -> Poll<T> {
+        self.0.touched.set(Instant::now());
+        match self.0.stream.borrow_mut().as_mut() {
+            Some(stream) => poll(Pin::new(stream)),
+            None => Poll::Ready(closed),
+        }
+    }
+}
+
+fn broken() -> io::Error {
+    io::ErrorKind::BrokenPipe.into()
+}
+
+impl AsyncRead for Io {
+    fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
+        let before = buf.filled().len();
+        let polled = self.with(Ok(()), |stream| stream.poll_read(cx, buf));
+        if buf.filled().len() > before {
+            self.0.awaiting.set(false);
+        }
+        polled
+    }
+}
+
+impl AsyncWrite for Io {
+    fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        self.0.awaiting.set(true);
+        self.with(Err(broken()), |stream| stream.poll_write(cx, buf))
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.with(Err(broken()), |stream| stream.poll_flush(cx))
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.with(Ok(()), |stream| stream.poll_shutdown(cx))
+    }
+}
+
+impl ActixStream for Io {
+    fn poll_read_ready(&self, cx: &mut Context<'_>) -> Poll<io::Result<Ready>> {
+        self.with(Err(broken()), |stream| ActixStream::poll_read_ready(&*stream, cx))
+    }
+
+    fn poll_write_ready(&self, cx: &mut Context<'_>) -> Poll<io::Result<Ready>> {
+        self.with(Err(broken()), |stream| ActixStream::poll_write_ready(&*stream, cx))
+    }
+}
+
+/// Opens connections within the limit and closes those that have been idle.
+#[derive(Clone)]
+pub struct Pool {
+    wires: Rc<RefCell<Vec<Weak<Wire>>>>,
+    most: usize,
+    pub idle: Duration,
+    resting: Duration,
+}
+
+impl Pool {
+    pub fn new(limits: &Limits) -> Pool {
+        let Limits { runners: most, idle, resting, .. } = *limits;
+        Pool { wires: Rc::default(), most, idle, resting }
+    }
+
+    /// A client over this pool that adds nothing by itself: no redirects, time-outs or headers.
+    pub fn client(&self, limits: &Limits) -> Client {
+        let connector = Connector::new()
+            .connector(self.clone())
+            .timeout(limits.connect)
+            .conn_keep_alive(limits.idle)
+            .conn_lifetime(limits.lifetime)
+            .limit(limits.runners);
+        Client::builder()
+            .connector(connector)
+            .disable_timeout()
+            .disable_redirects()
+            .no_default_headers()
+            .finish()
+    }
+
+    fn count(&self) -> usize {
+        let mut wires = self.wires.borrow_mut();
+        wires.retain(|wire| wire.upgrade().is_some_and(|wire| wire.stream.borrow().is_some()));
+        wires.len()
+    }
+
+    /// Closes connections that have been idle for so long to the addresses chosen.
+    pub fn close_idle(&self, idle: Duration, chosen: impl Fn(SocketAddr) -> bool) {
+        let (now, idle) = (Instant::now(), idle.max(self.resting));
+        for wire in self.wires.borrow().iter().filter_map(Weak::upgrade) {
+            if chosen(wire.at) && !wire.awaiting.get() && now - wire.touched.get() > idle {
+                wire.stream.borrow_mut().take();
+            }
+        }
+    }
+
+    /// Makes room for one more; an error if all connections are in use.
+    fn make_room(&self) -> io::Result<()> {
+        for idle in [self.idle, self.idle / 4, Duration::ZERO] {
+            if self.count() < self.most {
+                return Ok(());
+            }
+            self.close_idle(idle, |_| true);
+        }
+        if self.count() < self.most {
+            Ok(())
+        } else {
+            Err(io::Error::other("too many connections to runners"))
+        }
+    }
+}
+
+impl actix_service::Service<ConnectInfo<Uri>> for Pool {
+    type Response = Connection<Uri, Io>;
+    type Error = TcpError;
+    type Future = LocalBoxFuture<'static, Result<Connection<Uri, Io>, TcpError>>;
+
+    actix_service::always_ready!();
+
+    fn call(&self, info: ConnectInfo<Uri>) -> Self::Future {
+        let pool = self.clone();
+        Box::pin(async move {
+            let at = info.addrs().next().ok_or(TcpError::Unresolved)?;
+            pool.make_room().map_err(TcpError::Io)?;
+            log::debug!("connection to {at}");
+            let stream = TcpStream::connect(at).await.map_err(TcpError::Io)?;
+            // The last of several small writes must not wait for the answer to the first.
+            stream.set_nodelay(true).map_err(TcpError::Io)?;
+            let wire = Rc::new(Wire {
+                stream: RefCell::new(Some(stream)),
+                at,
+                awaiting: Cell::new(true),
+                touched: Cell::new(Instant::now()),
+            });
+            pool.wires.borrow_mut().push(Rc::downgrade(&wire));
+            let uri = info.request().clone();
+            Ok(Connection::new(uri, Io(wire)))
+        })
+    }
+}
--- /dev/null
+++ b/node/src/net/runners/report.rs
@@ -0,0 +1,38 @@
+//! What runners write of themselves: load reports, in headers, bodies and call-backs, and the results of
+//! jobs. It owns both forms of a report. It must never decide what a figure means: the tables do.
+
+use bytes::Bytes;
+use sablerun as sr;
+use sablerun_settings::Tables;
+
+/// A load report written as `TEXT name=value, name=value`.
+pub fn load_text(tables: &Tables, text: &str) -> Option<sr::Report> {
+    let text = text.trim();
+    let text = text.strip_prefix("TEXT").unwrap_or(text);
+    let pairs = text.split(',').filter_map(|pair| pair.split_once('='));
+    let values: Vec<_> = pairs.filter_map(|(n, v)| Some((n.trim(), v.trim().parse().ok()?))).collect();
+    (!values.is_empty()).then(|| tables.named_report(values))
+}
+
+/// A load report written as an object.
+pub fn load_object(tables: &Tables, load: &serde_json::Value) -> Option<sr::Report> {
+    let values = load.as_object()?.iter();
+    Some(tables.named_report(values.filter_map(|(name, value)| Some((name.as_str(), value.as_f64()?)))))
+}
+
+/// A load report in either form.
+pub fn load_body(tables: &Tables, body: &[u8]) -> Option<sr::Report> {
+    match serde_json::from_slice(body) {
+        Ok(value) => load_object(tables, &value),
+        Err(_) => load_text(tables, std::str::from_utf8(body).ok()?),
+    }
+}
+
+/// A call-back's result as the body of the answer: text as it is, anything else as JSON.
+pub fn result_bytes(result: serde_json::Value) -> Bytes {
+    match result {
+        serde_json::Value::Null => Bytes::new(),
+        serde_json::Value::String(text) => Bytes::from(text),
+        other => Bytes::from(other.to_string()),
+    }
+}
