A repeated word of a runner does not end a later attempt as never run

A runner repeats a call-back until it hears the answer, and a call-back names the request, not the attempt. `returned` of a first attempt, repeated while the second was out at the same runner, was matched by id and name to the second: booked as never run while it ran, and a class unsafe to repeat got a third attempt. The same with a word that an attempt given up, or one whose connection broke, still had on its way.

Each attempt that is over now keeps what may yet be heard of it: nothing (it ended by an answer), its own word again, or anything (given up, connection broken). A word that may be such an echo proves nothing of the live attempt: that is given up by DELETE and has timed out. A result serves whichever attempt made it.

--- a/node/src/core.rs
+++ b/node/src/core.rs
@@ -34,6 +34,19 @@
     sent: sr::Time,
     /// Nothing proves that it never ran.
     may_have_run: bool,
+    /// What may yet be heard of it, though it is over.
+    echo: Echo,
+}
+
+/// What a runner may yet say of an attempt that is over: words name the request, not the attempt.
+#[derive(PartialEq)]
+enum Echo {
+    /// It ended by an answer, or never began: nothing more is said.
+    None,
+    /// This word, again: its runner repeats a word until it hears that it was heard.
+    Word(sr::Outcome),
+    /// Whatever it has to say: it was given up, or its connection broke.
+    Any,
 }
 
 /// A key that is under way with a request.
@@ -51,8 +64,8 @@
     deadline: sr::Time,
     job: J,
     key: Option<Held>,
-    /// An earlier try of it may have run.
-    bound: bool,
+    /// When an earlier try of it, which may have run, was sent.
+    prior: Option<sr::Time>,
     answered: bool,
     attempts: Vec<Attempt>,
 }
@@ -179,10 +192,13 @@
             Input::Progress { id, from, share } => self.noted(now, &id, &from, sr::Note::Progress(share)),
             Input::Told { id, from, ending } => {
                 if let Some(attempt) = self.live(&id, &from) {
-                    self.ended(now, attempt, ending);
+                    self.told(now, attempt, ending);
                 }
             }
-            Input::Ended(attempt, ending) => self.ended(now, attempt, ending),
+            Input::Ended(attempt, ending) => {
+                let answered = ending.outcome.never_ran() || ending.outcome == sr::Outcome::Error;
+                self.ended(now, attempt, ending, if answered { Echo::None } else { Echo::Any });
+            }
             Input::Unusable(attempt) => self.unusable(now, attempt),
             Input::Probed { runner, ok, report } => {
                 if let Some(runner) = self.tables.workers.get(&runner) {
--- a/node/src/core/attempts.rs
+++ b/node/src/core/attempts.rs
@@ -2,7 +2,7 @@
 //! that a runner holds one attempt of a request at a time. It must never pick the runner, nor believe a word
 //! about an attempt that is over.
 
-use super::{Answer, Attempt, AttemptId, Core, Effect, Ending};
+use super::{Answer, Attempt, AttemptId, Core, Echo, Effect, Ending};
 use sablerun as sr;
 
 impl<J: Clone> Core<J> {
@@ -21,11 +21,43 @@
         }
     }
 
-    pub(super) fn ended(&mut self, now: sr::Time, attempt: AttemptId, ending: Ending) {
+    /// A runner's word of how a job ended. Where an earlier attempt there may have brought it about, it proves
+    /// nothing of this one, which may run: that is given up. What the runner made serves in any case.
+    pub(super) fn told(&mut self, now: sr::Time, attempt: AttemptId, ending: Ending) {
+        let AttemptId { request, number } = attempt;
+        let Some(attempts) = self.requests.get(&request).map(|r| &r.attempts) else { return };
+        let (earlier, this) = attempts.split_at(number as usize);
+        let echoes = |a: &Attempt| match a.echo {
+            Echo::None => false,
+            Echo::Word(word) => word == ending.outcome,
+            Echo::Any => true,
+        };
+        let doubtful = earlier.iter().any(|a| a.runner == this[0].runner && echoes(a));
+        if doubtful && ending.outcome != sr::Outcome::Ok {
+            self.give_up(request, number, sr::Outcome::Timeout);
+            self.tell_events(now);
+            self.forget(request);
+        } else {
+            let echo = Echo::Word(ending.outcome);
+            self.ended(now, attempt, ending, echo);
+        }
+    }
+
+    /// Gives a live attempt up; the module is to be told of the outcome.
+    pub(super) fn give_up(&mut self, request: u32, number: u32, outcome: sr::Outcome) {
+        let attempt = self.requests.get_mut(&request).and_then(|r| r.attempts.get_mut(number as usize));
+        if let Some(attempt) = attempt.filter(|a| a.live) {
+            (attempt.live, attempt.echo) = (false, Echo::Any);
+            self.effects.push(Effect::GiveUp(AttemptId { request, number }));
+            self.end_for_module(request, number, outcome);
+        }
+    }
+
+    pub(super) fn ended(&mut self, now: sr::Time, attempt: AttemptId, ending: Ending, echo: Echo) {
         let request = self.requests.get_mut(&attempt.request);
         let out = request.and_then(|r| r.attempts.get_mut(attempt.number as usize));
         let Some(out) = out.filter(|a| a.live) else { return };
-        (out.live, out.may_have_run) = (false, !ending.outcome.never_ran());
+        (out.live, out.may_have_run, out.echo) = (false, !ending.outcome.never_ran(), echo);
         self.effects.push(Effect::Over(attempt));
         if ending.outcome == sr::Outcome::Ok {
             self.answer(now, attempt.request, Answer::Served(ending.result));
@@ -67,7 +99,7 @@
         // A runner gets one attempt of a request at a time.
         let there = held.attempts.iter().any(|a| a.live && a.runner == runner);
         let moot = there || held.answered;
-        held.attempts.push(Attempt { runner, live: !moot, sent: now, may_have_run: !moot });
+        held.attempts.push(Attempt { runner, live: !moot, sent: now, may_have_run: !moot, echo: Echo::None });
         if moot {
             self.end_for_module(request, number, sr::Outcome::Moot);
             return;
--- a/node/src/core/module.rs
+++ b/node/src/core/module.rs
@@ -2,7 +2,7 @@
 //! told what came of that. This owns the order of both. It must never make a choice that is the module's.
 
 use super::timers::Timer;
-use super::{Answer, AttemptId, Core, Effect};
+use super::{Answer, Core, Effect};
 use sablerun as sr;
 
 impl<J: Clone> Core<J> {
@@ -27,14 +27,8 @@
         match action {
             sr::Action::Send(id, worker) => self.start(now, id.0, worker.0),
             sr::Action::Cancel(id, number) => {
-                let request = self.requests.get_mut(&id.0);
-                let attempt = request.and_then(|r| r.attempts.get_mut(number as usize));
-                if let Some(attempt) = attempt.filter(|a| a.live) {
-                    attempt.live = false;
-                    self.effects.push(Effect::GiveUp(AttemptId { request: id.0, number }));
-                    self.end_for_module(id.0, number, sr::Outcome::Cancelled);
-                    self.forget(id.0);
-                }
+                self.give_up(id.0, number, sr::Outcome::Cancelled);
+                self.forget(id.0);
             }
             sr::Action::Refuse(id, hold_off) => {
                 self.answer(now, id.0, Answer::Refused(hold_off));
--- a/node/src/core/requests.rs
+++ b/node/src/core/requests.rs
@@ -3,7 +3,7 @@
 //! twice or late, nor choose a runner.
 
 use super::timers::Timer;
-use super::{Answer, Arrival, AttemptId, Core, Effect, Held, Request, Ticket};
+use super::{Answer, Arrival, Core, Effect, Held, Request, Ticket};
 use bytes::Bytes;
 use sablerun as sr;
 use sablerun_keys as keys;
@@ -51,8 +51,8 @@
         self.tickets.insert(ticket, number);
         let key = key.filter(|_| self.keys.is_some()).map(|key| Held { member, text: key.text });
         let (waiting, attempts) = (vec![(ticket, deadline)], Vec::new());
-        let (bound, answered) = (prior.is_some(), false);
-        let request = Request { waiting, id, class, deadline, job, key, bound, answered, attempts };
+        let (sent, answered) = (prior.as_ref().map(|prior| prior.sent), false);
+        let request = Request { waiting, id, class, deadline, job, key, prior: sent, answered, attempts };
         self.requests.insert(number, request);
         self.set_timer(deadline, Timer::Deadline(number));
         let arrival = sr::Arrival {
@@ -158,7 +158,7 @@
         let hold_off = self.hold_off();
         if let Some(held) = self.requests.get_mut(&request).filter(|r| !r.answered) {
             // What was never sent can be tried again by any class.
-            let answer = match held.attempts.is_empty() && !held.bound {
+            let answer = match held.attempts.is_empty() && held.prior.is_none() {
                 true => Answer::Refused(hold_off),
                 false => Answer::Failed("not done by the deadline"),
             };
@@ -175,15 +175,9 @@
             self.answered(now, request, None);
             self.tell(now, sr::Event::Closed(sr::RequestId(request)));
         }
-        let Some(held) = self.requests.get_mut(&request) else { return };
-        let mut out = Vec::new();
-        for (number, attempt) in held.attempts.iter_mut().enumerate().filter(|(_, a)| a.live) {
-            attempt.live = false;
-            out.push(number as u32);
-        }
-        for number in out {
-            self.effects.push(Effect::GiveUp(AttemptId { request, number }));
-            self.end_for_module(request, number, sr::Outcome::Timeout);
+        let attempts = self.requests.get(&request).map_or(0, |held| held.attempts.len());
+        for number in 0..attempts as u32 {
+            self.give_up(request, number, sr::Outcome::Timeout);
         }
         self.tell_events(now);
         self.forget(request);
