An attempt asks for leave at its first byte; a give-up reaches the runner in any order

- A give-up before the 202 only closed the connection.
A runner whose 202 is on its way takes no notice of that, and the attempt stayed out.
What has begun is given up by DELETE too (a_give_up_that_crosses_the_202_reaches_the_runner).
- A DELETE that goes down with a connection which its runner has just closed was not said again (a_give_up_that_a_closing_connection_eats_is_said_again).
- An answer that can't be read, or is neither a yes nor a no, ended the attempt as reset or error while the runner may hold the job.
It is given up, and what it says is: nothing known (a_spoilt_answer_gives_the_job_up).
- The second copy of a 503 or 500 could be read as the answer to the next attempt on that connection: booked as never run while it ran.
An answer other than 202 ends its connection (an_answer_that_comes_twice_ends_one_attempt).
A second 202 only says taken of what may be turned away; no rule hangs on that.
- A connection that came up late, or a give-up that had to be confirmed first, let a request out after its client had left (where attempts can't be cancelled), after its end, or after the window in which a repeat is known.
The link now asks the core at the first byte: the attempt is live, somebody waits in time, the first is still known there (nothing_is_written_for_a_client_that_left_before_the_connection_came_up, a_repeat_that_would_come_after_the_window_is_not_written).

Ruled out by reading awc's h1proto: Send is only raised while bytes of the request are still unwritten, so it does prove that it never ran; Connect after the write is Disconnected alone.

--- a/node/src/core/attempts.rs
+++ b/node/src/core/attempts.rs
@@ -53,6 +53,22 @@
         }
     }
 
+    /// Whether an attempt may begin now, which can be a while after it was decided on: it is not over, somebody
+    /// waits in time, and a repeat gets there while the first is known there.
+    pub fn may_begin(&self, now: sr::Time, attempt: AttemptId) -> bool {
+        let Some(request) = self.requests.get(&attempt.request).filter(|r| !r.answered) else { return false };
+        let (earlier, this) = request.attempts.split_at(attempt.number as usize);
+        let class = &self.settings.classes[request.class as usize];
+        let ran = earlier.iter().filter(|a| a.may_have_run).map(|a| a.sent).chain(request.prior).min();
+        let known = match class.effect {
+            sr::Effect::Keyed(_) => {
+                ran.is_none_or(|first| now < first + class.window - sr::Span(self.settings.tick.0 * 2))
+            }
+            sr::Effect::Safe | sr::Effect::Unsafe => true,
+        };
+        this.first().is_some_and(|a| a.live) && now < request.deadline && known
+    }
+
     pub(super) fn ended(&mut self, now: sr::Time, attempt: AttemptId, ending: Ending, echo: Echo) {
         let request = self.requests.get_mut(&attempt.request);
         let out = request.and_then(|r| r.attempts.get_mut(attempt.number as usize));
--- a/node/src/net/runners.rs
+++ b/node/src/net/runners.rs
@@ -10,14 +10,15 @@
 pub use pool::Pool;
 pub use report::{load_object, result_bytes};
 
-use crate::core::{AttemptId, Input};
+use crate::core::{AttemptId, Ending, Input};
 use crate::runtime::{Job, Link, Runtime};
 use attempt::Answered;
 use awc::Client;
 use awc::http::{StatusCode, header::HeaderMap};
+use pool::{LEAVE, Leave};
 use report::{load_body, load_text};
 use sablerun as sr;
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::{Rc, Weak};
@@ -25,12 +26,14 @@
 use tokio::sync::Notify;
 use tokio::task::AbortHandle;
 
+/// How often a runner is told that a job is given up, if it does not answer.
+const TELLINGS: usize = 3;
+
 /// An attempt that is out.
 struct Out {
     id: Rc<str>,
     runner: String,
-    /// The runner has answered 202: giving up takes a call of its own.
-    taken: Rc<Cell<bool>>,
+    leave: Rc<Leave>,
     task: AbortHandle,
 }
 
@@ -108,8 +111,16 @@
         actix_rt::spawn(async move {
             let url = format!("http://{at}/jobs/{}", key.0);
             let call = async {
-                let mut response = this.client.delete(url).address(at).no_decompress().send().await.ok()?;
-                response.body().limit(runtime.limits.body).await.ok()
+                let mut told = None;
+                // A connection that its runner has just closed eats the call: another one may not.
+                for _ in 0..TELLINGS {
+                    let call = this.client.delete(&url).address(at).no_decompress();
+                    if let Ok(mut response) = call.send().await {
+                        told = response.body().limit(runtime.limits.body).await.ok();
+                        break;
+                    }
+                }
+                told
             };
             if !matches!(tokio::time::timeout(runtime.limits.give_up, call).await, Ok(Some(_))) {
                 log::debug!("runner {} did not confirm that it gives {} up", key.1, key.0);
@@ -128,40 +139,42 @@
     fn start(&self, attempt: AttemptId, id: Rc<str>, runner: &str, job: Rc<Job>, deadline: sr::Time) {
         let (Some(this), Some(runtime)) = (self.this.upgrade(), self.runtime.upgrade()) else { return };
         let Some(&at) = self.addresses.borrow().get(runner) else { return };
-        let taken = Rc::new(Cell::new(false));
-        let (key, took) = ((id.clone(), runner.to_owned()), taken.clone());
-        let task = actix_rt::spawn(async move {
+        let asks = Rc::downgrade(&runtime);
+        let leave = Leave::new(move || asks.upgrade().is_some_and(|runtime| runtime.may_begin(attempt)));
+        let (key, own) = ((id.clone(), runner.to_owned()), leave.clone());
+        let task = actix_rt::spawn(LEAVE.scope(leave.clone(), async move {
             loop {
                 let giving_up = this.given_up.borrow().get(&key).cloned();
                 let Some(giving_up) = giving_up else { break };
                 giving_up.notified().await;
             }
             let wait = Duration::from_nanos((deadline - runtime.clock.now()).0);
-            let answered = this.attempt(at, &key.0, &job, wait).await;
+            let answered = this.attempt(at, &key.0, &job, wait, &own).await;
             // Written whole unless it never got that far.
             if !matches!(&answered, Answered::Ended(e) if e.outcome == sr::Outcome::ConnectFailed) {
                 crate::figures::Figures::add(&runtime.figures.sends);
             }
             match answered {
-                Answered::Taken => {
-                    log::debug!("runner {} took {}", key.1, key.0);
-                    took.set(true);
-                }
+                Answered::Taken => log::debug!("runner {} took {}", key.1, key.0),
                 Answered::Unusable => runtime.feed(Input::Unusable(attempt)),
                 Answered::Ended(ending) => runtime.feed(Input::Ended(attempt, ending)),
+                Answered::Garbled => {
+                    this.withdraw(key.0, key.1);
+                    runtime.feed(Input::Ended(attempt, Ending::bare(sr::Outcome::Reset)));
+                }
             }
-        });
-        let out = Out { id, runner: runner.to_owned(), taken, task: task.abort_handle() };
+        }));
+        let out = Out { id, runner: runner.to_owned(), leave, task: task.abort_handle() };
         self.out.borrow_mut().insert(attempt, out);
     }
 
     fn give_up(&self, attempt: AttemptId) {
         let Some(out) = self.out.borrow_mut().remove(&attempt) else { return };
-        if out.taken.get() {
+        // Before the 202 the end of the connection says it. But a 202 may be on its way, and that end means
+        // nothing to a runner that has written it: only the call is heard in any order.
+        out.task.abort();
+        if out.leave.begun() {
             self.withdraw(out.id, out.runner);
-        } else {
-            // Before the 202 the end of the connection says it.
-            out.task.abort();
         }
     }
 
--- a/node/src/net/runners/attempt.rs
+++ b/node/src/net/runners/attempt.rs
@@ -3,8 +3,10 @@
 //! what may have been written whole.
 
 use super::Runners;
+use super::pool::Leave;
 use crate::core::Ending;
 use crate::runtime::Job;
+use actix_http::error::ParseError;
 use awc::error::{ConnectError, SendRequestError};
 use awc::http::StatusCode;
 use bytes::Bytes;
@@ -18,11 +20,20 @@
     /// The request itself is at fault.
     Unusable,
     Ended(Ending),
+    /// Nothing that makes sense: the runner may well have it.
+    Garbled,
 }
 
 impl Runners {
     /// Makes one attempt: what the runner answers, if only that it has taken it.
-    pub async fn attempt(&self, at: SocketAddr, id: &str, job: &Job, wait: Duration) -> Answered {
+    pub async fn attempt(
+        &self,
+        at: SocketAddr,
+        id: &str,
+        job: &Job,
+        wait: Duration,
+        leave: &Leave,
+    ) -> Answered {
         let mut request = self
             .client
             .post(format!("http://{at}{}", job.target))
@@ -44,9 +55,14 @@
             Ok(response) => response,
             Err(e) => {
                 log::debug!("attempt {id} at {at}: {e}");
-                return Answered::Ended(Ending::bare(unanswered(&e)));
+                return unanswered(&e);
             }
         };
+        if response.status() != StatusCode::ACCEPTED {
+            // It ends the attempt, and the same answer may come twice: the second, read as the answer to the
+            // next request on this connection, would end that too while its runner has it.
+            leave.close();
+        }
         let (status, report) = (response.status(), self.header_report(response.headers()));
         let turned_away = response.headers().get("X-Not-Processed").is_some_and(|v| v.as_bytes() == b"1");
         let ended = |outcome| Answered::Ended(Ending { outcome, result: Bytes::new(), report });
@@ -60,10 +76,14 @@
                 log::info!("runner at {at} can't use request {id}");
                 Answered::Unusable
             }
-            other => {
+            other if other.is_client_error() || other.is_server_error() => {
                 log::warn!("runner at {at} answered {other} to attempt {id}: taken for an error");
                 ended(sr::Outcome::Error)
             }
+            other => {
+                log::warn!("runner at {at} answered {other} to attempt {id}: no answer at all");
+                Answered::Garbled
+            }
         };
         // What a body holds is of no use, but unread it would cost the connection.
         if let Some(runtime) = self.runtime.upgrade() {
@@ -76,15 +96,20 @@
     }
 }
 
-/// The outcome of an attempt that got no answer. Only what failed before the request's last byte was
-/// written proves that it never ran. Guards against awc's word for a connection that ended while the
-/// answer was awaited: it is a `Connect` error too.
-fn unanswered(error: &SendRequestError) -> sr::Outcome {
-    match error {
+/// What an attempt without an answer comes to. Only what failed before the request's last byte was written
+/// proves that it never ran. Guards against awc's word for a connection that ended while the answer was
+/// awaited: it is a `Connect` error too. An answer that can't be read says nothing of the job, which its
+/// runner may hold for as long as nobody gives it up.
+fn unanswered(error: &SendRequestError) -> Answered {
+    let outcome = match error {
         SendRequestError::Connect(ConnectError::Disconnected) => sr::Outcome::Reset,
         SendRequestError::Connect(_) | SendRequestError::Send(_) | SendRequestError::Url(_) => {
             sr::Outcome::ConnectFailed
         }
+        SendRequestError::Response(error) if !matches!(error, ParseError::Io(_)) => {
+            return Answered::Garbled;
+        }
         _ => sr::Outcome::Reset,
-    }
+    };
+    Answered::Ended(Ending::bare(outcome))
 }
--- a/node/src/net/runners/pool.rs
+++ b/node/src/net/runners/pool.rs
@@ -17,6 +17,46 @@
 use std::task::{Context, Poll};
 use std::time::{Duration, Instant};
 
+tokio::task_local! {
+    /// The leave of the attempt that the task makes; other requests need none.
+    pub static LEAVE: Rc<Leave>;
+}
+
+/// An attempt's leave to begin. The first byte of a request may be long in coming, by a connection that comes
+/// up late or a give-up that its runner has to confirm first: whether it may go out is asked in that moment.
+pub struct Leave {
+    granted: Box<dyn Fn() -> bool>,
+    /// The connection on which the attempt has begun.
+    wire: RefCell<Option<Weak<Wire>>>,
+}
+
+impl Leave {
+    pub fn new(granted: impl Fn() -> bool + 'static) -> Rc<Leave> {
+        Rc::new(Leave { granted: Box::new(granted), wire: RefCell::default() })
+    }
+
+    /// Whether the attempt has begun: its runner may have it whole.
+    pub fn begun(&self) -> bool {
+        self.wire.borrow().is_some()
+    }
+
+    fn begin(&self, on: &Rc<Wire>) -> bool {
+        let begins = self.begun() || (self.granted)();
+        if begins {
+            self.wire.borrow_mut().get_or_insert_with(|| Rc::downgrade(on));
+        }
+        begins
+    }
+
+    /// Closes the connection on which the attempt went out: nothing that comes over it may be taken for the
+    /// answer to another request.
+    pub fn close(&self) {
+        if let Some(wire) = self.wire.borrow().as_ref().and_then(Weak::upgrade) {
+            wire.stream.borrow_mut().take();
+        }
+    }
+}
+
 /// What is behind one pooled connection.
 struct Wire {
     stream: RefCell<Option<TcpStream>>,
@@ -64,6 +104,9 @@
 
 impl AsyncWrite for Io {
     fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        if !LEAVE.try_with(|leave| leave.begin(&self.0)).unwrap_or(true) {
+            return Poll::Ready(Err(broken()));
+        }
         self.0.awaiting.set(true);
         self.with(Err(broken()), |stream| stream.poll_write(cx, buf))
     }
--- a/node/src/runtime.rs
+++ b/node/src/runtime.rs
@@ -186,6 +186,11 @@
         if core.with_tenants() && tenant.is_none() { Err(()) } else { Ok(tenant) }
     }
 
+    /// Whether an attempt may go out now.
+    pub fn may_begin(&self, attempt: AttemptId) -> bool {
+        self.core.borrow().may_begin(self.clock.now(), attempt)
+    }
+
     /// Whether a request of this id is here.
     pub fn knows(&self, id: &str) -> bool {
         self.core.borrow().knows(id)
