A tenant's share ends with the settings that gave it; repeated words among the random steps

A tenant that SIGHUP no longer names kept the last token of its old share and was never charged for it: within share for good, before tenants with a share of their own. And where the new settings name no tenants at all, one named before would have come after everybody. A share of zero is over at once now, and no request counts as beyond a share where nobody has one; the member of its key stays, so a repeat under a key is known as before.

--- a/node/src/core/requests.rs
+++ b/node/src/core/requests.rs
@@ -58,7 +58,8 @@
         let arrival = sr::Arrival {
             request: sr::RequestId(number),
             class: sr::ClassId(class),
-            tenant: tenant.map(sr::TenantId),
+            // Its key's member stays; but where no tenant has a share, nobody is beyond one.
+            tenant: tenant.filter(|_| self.with_tenants).map(sr::TenantId),
             deadline,
             slots,
             memory,
--- a/node/tests/model/take.rs
+++ b/node/tests/model/take.rs
@@ -79,6 +79,17 @@
                     false => Input::Ended(self.tried[number].id, ending),
                 };
                 self.input(input, ends);
+                if told && ends.is_some() {
+                    self.tried[number].word = Some(outcome);
+                }
+            }
+            Step::Repeat(of) if !self.tried.is_empty() => {
+                let tried = &self.tried[of.index(self.tried.len())];
+                let Some(outcome) = tried.word else { return };
+                let (id, from) = (format!("r{}", tried.ticket), name(tried.runner));
+                let result = format!("made of r{}", tried.ticket).into();
+                // It is about an attempt that is over: it ends none, though one there may be given up for it.
+                self.input(Input::Told { id, from, ending: Ending { outcome, result, report: None } }, None);
             }
             Step::Unusable(of) if !self.tried.is_empty() => {
                 let number = of.index(self.tried.len());
@@ -125,6 +136,7 @@
             | Step::Leave(_)
             | Step::Start(_)
             | Step::End { .. }
+            | Step::Repeat(_)
             | Step::Stray { .. } => {}
         }
     }
--- a/node/tests/model/world.rs
+++ b/node/tests/model/world.rs
@@ -33,6 +33,8 @@
     pub at: sr::Time,
     /// `None` while it is out; else whether it may have run.
     pub over: Option<bool>,
+    /// The word of its runner that ended it.
+    pub word: Option<sr::Outcome>,
 }
 
 pub struct World {
--- a/src/balance/line.rs
+++ b/src/balance/line.rs
@@ -73,7 +73,7 @@
         let Some((quota, tokens, used, at)) = self.tenants.get_mut(t) else { return false };
         *tokens = (*tokens + *quota * part * (now - *at)).min((*quota * part * 2.0).max(1.0));
         (*used, *at) = (*used * left(now - *at, MISS_HALF_LIFE), now);
-        let over = *tokens < 1.0;
+        let over = *tokens < 1.0 || *quota <= 0.0;
         if !retry && *quota > 0.0 {
             *tokens -= f64::from(u8::from(!over));
             *used += std::f64::consts::LN_2 / MISS_HALF_LIFE / *quota;
