--- a/node/tests/attempts.rs
+++ b/node/tests/attempts.rs
@@ -77,6 +77,7 @@
         assert_eq!(call.target, format!("/jobs/{id}"), "{spoilt:?}");
         line.answer("200 OK");
         assert_eq!(answer(&client).unwrap().status(), 502, "{spoilt:?}");
+        program.log.wait(": Failed(", 1);
         assert_eq!(program.log.count(" at s-0"), 1, "{spoilt:?}");
     }
 }
@@ -98,6 +99,7 @@
     program.log.wait(&format!("runner s-0 took {id}"), 1);
     tell(&program, &id, "s-0", "done");
     assert_eq!(answer(&client).unwrap().body, "made once");
+    program.log.wait(&format!("runner s-0 ended {id}"), 1);
     assert_eq!(program.log.count(&format!("of {id}, wave-release, at s-0")), 2);
 }
 
@@ -117,6 +119,7 @@
     assert_eq!(call.target, format!("/jobs/{id}"));
     line.answer("200 OK");
     assert_eq!(answer(&client).unwrap().status(), 502);
+    program.log.wait(": Failed(", 1);
     assert_eq!(program.log.count(&format!("of {id}, wave-release, at s-0")), 2);
 }
 
@@ -138,9 +141,10 @@
 #[test]
 fn nothing_is_begun_for_a_request_that_is_late_as_it_arrives() {
     let (_discovery, _runner, program) = one_raw(|_| {});
-    for class in ["pick-route", "wave-release"] {
+    for (before, class) in ["pick-route", "wave-release"].into_iter().enumerate() {
         let id = new_id();
         assert_eq!(call(program.at, &api(class, &id, "0m", ""), "x").status(), 503, "{class}");
+        program.log.wait(": Refused(", before + 1);
         assert_eq!(program.log.count(&format!("of {id}, {class}, at")), 0, "{class}");
     }
 }
