Read a given-up attempt's connection to its end, and call only if an answer crosses

Closing and sending DELETE for every attempt given up before its 202 opens a connection to each runner that hangs, just when connections are scarce. The connection stays counted in the pool, and a further attempt of the job there waits, so that a late DELETE can't hit that one.

--- a/node/src/net/runners.rs
+++ b/node/src/net/runners.rs
@@ -15,14 +15,17 @@
 use attempt::Answered;
 use awc::Client;
 use awc::http::{StatusCode, header::HeaderMap};
+use bytes::Bytes;
 use pool::{LEAVE, Leave};
 use report::{load_body, load_text};
 use sablerun as sr;
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::{Rc, Weak};
 use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 use tokio::sync::Notify;
 use tokio::task::AbortHandle;
 
@@ -33,6 +36,8 @@
 struct Out {
     id: Rc<str>,
     runner: String,
+    /// The runner has answered 202: giving up takes a call of its own.
+    taken: Rc<Cell<bool>>,
     leave: Rc<Leave>,
     task: AbortHandle,
 }
@@ -101,16 +106,25 @@
         Some(head.or_else(|| runtime.with_tables(|tables| load_body(tables, &body))))
     }
 
-    /// Lets a runner know that a job is given up, and those who wait for it that it does.
-    fn withdraw(&self, id: Rc<str>, runner: String) {
+    /// Lets a runner know that a job is given up, and those who wait for it that it does. Before the 202 the
+    /// end of the connection says it; but that means nothing to a runner whose 202 is on its way, so the
+    /// connection is `unheard` to its end, and what comes calls for a call.
+    fn withdraw(&self, id: Rc<str>, runner: String, unheard: Option<TcpStream>) {
         let Some(&at) = self.addresses.borrow().get(&runner) else { return };
         let (Some(this), Some(runtime)) = (self.this.upgrade(), self.runtime.upgrade()) else { return };
         let key = (id, runner);
         let done = Rc::new(Notify::new());
         self.given_up.borrow_mut().insert(key.clone(), done.clone());
+        let unheard = unheard.map(|connection| self.pool.adopt(connection, at));
         actix_rt::spawn(async move {
             let url = format!("http://{at}/jobs/{}", key.0);
             let call = async {
+                if let Some(mut connection) = unheard {
+                    let _ = connection.shutdown().await;
+                    if !matches!(connection.read(&mut [0; 64]).await, Ok(1..)) {
+                        return Some(Bytes::new());
+                    }
+                }
                 let mut told = None;
                 // A connection that its runner has just closed eats the call: another one may not.
                 for _ in 0..TELLINGS {
@@ -141,7 +155,8 @@
         let Some(&at) = self.addresses.borrow().get(runner) else { return };
         let asks = Rc::downgrade(&runtime);
         let leave = Leave::new(move || asks.upgrade().is_some_and(|runtime| runtime.may_begin(attempt)));
-        let (key, own) = ((id.clone(), runner.to_owned()), leave.clone());
+        let taken = Rc::new(Cell::new(false));
+        let (key, own, took) = ((id.clone(), runner.to_owned()), leave.clone(), taken.clone());
         let task = actix_rt::spawn(LEAVE.scope(leave.clone(), async move {
             loop {
                 let giving_up = this.given_up.borrow().get(&key).cloned();
@@ -155,26 +170,32 @@
                 crate::figures::Figures::add(&runtime.figures.sends);
             }
             match answered {
-                Answered::Taken => log::debug!("runner {} took {}", key.1, key.0),
+                Answered::Taken => {
+                    log::debug!("runner {} took {}", key.1, key.0);
+                    took.set(true);
+                }
                 Answered::Unusable => runtime.feed(Input::Unusable(attempt)),
                 Answered::Ended(ending) => runtime.feed(Input::Ended(attempt, ending)),
                 Answered::Garbled => {
-                    this.withdraw(key.0, key.1);
+                    this.withdraw(key.0, key.1, None);
                     runtime.feed(Input::Ended(attempt, Ending::bare(sr::Outcome::Reset)));
                 }
             }
         }));
-        let out = Out { id, runner: runner.to_owned(), leave, task: task.abort_handle() };
+        let out = Out { id, runner: runner.to_owned(), taken, leave, task: task.abort_handle() };
         self.out.borrow_mut().insert(attempt, out);
     }
 
     fn give_up(&self, attempt: AttemptId) {
         let Some(out) = self.out.borrow_mut().remove(&attempt) else { return };
-        // Before the 202 the end of the connection says it. But a 202 may be on its way, and that end means
-        // nothing to a runner that has written it: only the call is heard in any order.
-        out.task.abort();
-        if out.leave.begun() {
-            self.withdraw(out.id, out.runner);
+        if out.taken.get() {
+            self.withdraw(out.id, out.runner, None);
+        } else {
+            let unheard = out.leave.take();
+            out.task.abort();
+            if unheard.is_some() {
+                self.withdraw(out.id, out.runner, unheard);
+            }
         }
     }
 
--- a/node/src/net/runners/attempt.rs
+++ b/node/src/net/runners/attempt.rs
@@ -61,7 +61,7 @@
         if response.status() != StatusCode::ACCEPTED {
             // It ends the attempt, and the same answer may come twice: the second, read as the answer to the
             // next request on this connection, would end that too while its runner has it.
-            leave.close();
+            drop(leave.take());
         }
         let (status, report) = (response.status(), self.header_report(response.headers()));
         let turned_away = response.headers().get("X-Not-Processed").is_some_and(|v| v.as_bytes() == b"1");
--- a/node/src/net/runners/pool.rs
+++ b/node/src/net/runners/pool.rs
@@ -35,25 +35,18 @@
         Rc::new(Leave { granted: Box::new(granted), wire: RefCell::default() })
     }
 
-    /// Whether the attempt has begun: its runner may have it whole.
-    pub fn begun(&self) -> bool {
-        self.wire.borrow().is_some()
-    }
-
     fn begin(&self, on: &Rc<Wire>) -> bool {
-        let begins = self.begun() || (self.granted)();
+        let begins = self.wire.borrow().is_some() || (self.granted)();
         if begins {
             self.wire.borrow_mut().get_or_insert_with(|| Rc::downgrade(on));
         }
         begins
     }
 
-    /// Closes the connection on which the attempt went out: nothing that comes over it may be taken for the
-    /// answer to another request.
-    pub fn close(&self) {
-        if let Some(wire) = self.wire.borrow().as_ref().and_then(Weak::upgrade) {
-            wire.stream.borrow_mut().take();
-        }
+    /// Takes the connection on which the attempt went out away from the pool: nothing that comes over it will
+    /// be taken for the answer to another request. None if the attempt has not begun.
+    pub fn take(&self) -> Option<TcpStream> {
+        self.wire.borrow().as_ref().and_then(Weak::upgrade)?.stream.take()
     }
 }
 
@@ -161,6 +154,14 @@
             .finish()
     }
 
+    /// Counts a connection in, until it is dropped; it is not idle.
+    pub fn adopt(&self, stream: TcpStream, at: SocketAddr) -> Io {
+        let (stream, awaiting, touched) = (Some(stream).into(), true.into(), Instant::now().into());
+        let wire = Rc::new(Wire { stream, at, awaiting, touched });
+        self.wires.borrow_mut().push(Rc::downgrade(&wire));
+        Io(wire)
+    }
+
     fn count(&self) -> usize {
         let mut wires = self.wires.borrow_mut();
         wires.retain(|wire| wire.upgrade().is_some_and(|wire| wire.stream.borrow().is_some()));
@@ -209,15 +210,8 @@
             let stream = TcpStream::connect(at).await.map_err(TcpError::Io)?;
             // The last of several small writes must not wait for the answer to the first.
             stream.set_nodelay(true).map_err(TcpError::Io)?;
-            let wire = Rc::new(Wire {
-                stream: RefCell::new(Some(stream)),
-                at,
-                awaiting: Cell::new(true),
-                touched: Cell::new(Instant::now()),
-            });
-            pool.wires.borrow_mut().push(Rc::downgrade(&wire));
             let uri = info.request().clone();
-            Ok(Connection::new(uri, Io(wire)))
+            Ok(Connection::new(uri, pool.adopt(stream, at)))
         })
     }
 }
