Only the answers that the protocol gives a meaning end an attempt by themselves

Any other 4xx or 5xx was an error that ended the attempt, though it may be the second answer to a call before (the 404 to a DELETE, say) while the runner has the job. The job is given up and nothing is known of it, as with every answer that makes no sense. a_spoilt_answer_gives_the_job_up: with 404 no DELETE came before.

--- a/node/src/net/runners/attempt.rs
+++ b/node/src/net/runners/attempt.rs
@@ -71,15 +71,14 @@
             StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if turned_away => {
                 ended(sr::Outcome::Full)
             }
-            StatusCode::INTERNAL_SERVER_ERROR => ended(sr::Outcome::Error),
             StatusCode::BAD_REQUEST => {
                 log::info!("runner at {at} can't use request {id}");
                 Answered::Unusable
             }
-            other if other.is_client_error() || other.is_server_error() => {
-                log::warn!("runner at {at} answered {other} to attempt {id}: taken for an error");
-                ended(sr::Outcome::Error)
-            }
+            StatusCode::INTERNAL_SERVER_ERROR
+            | StatusCode::SERVICE_UNAVAILABLE
+            | StatusCode::GATEWAY_TIMEOUT => ended(sr::Outcome::Error),
+            // Perhaps the answer to a call before, twice.
             other => {
                 log::warn!("runner at {at} answered {other} to attempt {id}: no answer at all");
                 Answered::Garbled
--- a/node/tests/attempts.rs
+++ b/node/tests/attempts.rs
@@ -69,7 +69,11 @@
 /// unsafe to repeat is not.
 #[test]
 fn a_spoilt_answer_gives_the_job_up() {
-    for spoilt in ["HTTP/1.1 2\u{1}2 ?\r\n\r\n", "HTTP/1.1 204 No Content\r\n\r\n"] {
+    for spoilt in [
+        "HTTP/1.1 2\u{1}2 ?\r\n\r\n",
+        "HTTP/1.1 204 No Content\r\n\r\n",
+        "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n",
+    ] {
         let (_discovery, runner, program) = one_raw(fragile);
         let id = new_id();
         let client = open(&program, "wave-release", &id, "120000m", "x");
