Hold a lost list to one clock: 6 s after any loss of the watch nobody is sent to by it

Cause: a watch that ended, was reset, or a call that was turned down or given up never bound the list in hand (only silence did), and the next call waited up to max(askWithin, 2 s) x crowd: 7.5 s in a fleet of 300, 10 s after that. Now any loss, the start and a moved address among them, starts the clock (5.8 s; 3.3 s from the word of silence on, which comes 2.5 s after the last line); only news or a sign of life ends it. Calls are made within a third of what is left of it, jittered; once it has run out they grow rarer, up to 8 s. A connection refused shows that discovery is not there: the clock counts anew. A call counts as late after 1.5 s and is read on all the same. Also: life is a whole object or an empty line outside of one (bytes alone were life); an empty line on a watch that was only late ends the blindness; a whole list that newer news crossed is passed over, one of a discovery that counts anew is not; calls use a connection of their own. The form of the list moves to net/hosts.rs unchanged.

--- a/benchlink/src/host.rs
+++ b/benchlink/src/host.rs
@@ -14,7 +14,9 @@
 
 impl Instance {
     fn new(seed: u64, now: sr::Time, env: &Env) -> Result<Instance, String> {
-        let (settings, tables) = env.settle().map_err(|e| format!("PROVISION.env: {e}"))?;
+        let (mut settings, tables) = env.settle().map_err(|e| format!("PROVISION.env: {e}"))?;
+        // The simulator's own clock: four times the time for asking, anew from each call that fails.
+        settings.lost_within = sr::Span(settings.ask_within.0.saturating_mul(4));
         let balancer = sr::Balancer::new(settings, seed, now).map_err(|e| format!("PROVISION.env: {e}"))?;
         Ok(Instance { balancer, tables })
     }
@@ -107,7 +109,7 @@
                 };
                 let instance = find(&mut self.instances, i, "TARGETS")?;
                 let event = match kind {
-                    None => sr::Event::ListFailed,
+                    None => sr::Event::ListAway,
                     Some(kind) => {
                         let number = page.ok_or("TARGETS.page is missing")?;
                         let page = self.pages.get(&number);
--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -4,7 +4,7 @@
 
 use crate::core::Input;
 use crate::figures::Figures;
-use crate::net::discovery;
+use crate::net::hosts;
 use crate::operator;
 use crate::runtime::Runtime;
 use sablerun as sr;
@@ -21,7 +21,7 @@
     pub seed: String,
     pub limits: Machine,
     #[serde(default)]
-    pub known: Option<discovery::Hosts>,
+    pub known: Option<hosts::Hosts>,
     /// The operators' door, where there is one; `$NODE_ADMIN_ADDR` stands before it.
     #[serde(default)]
     pub admin_addr: Option<SocketAddr>,
--- a/node/src/core/input.rs
+++ b/node/src/core/input.rs
@@ -133,6 +133,8 @@
     ListFailed,
     /// Nothing comes over the watch any more, not even a sign of life.
     ListSilent,
+    /// A call for the list was refused a connection: discovery is not there.
+    ListAway,
     /// New settings hold from now on.
     Retune(Box<Retune>),
     /// The list is to be asked for at this address from now on.
--- a/node/src/limits.rs
+++ b/node/src/limits.rs
@@ -57,9 +57,9 @@
     pub probe: Duration,
     /// Time for a runner to confirm that it gives a job up.
     pub give_up: Duration,
-    /// Time for discovery to begin its answer.
+    /// Time for discovery to tell the first of its answer; what comes later is still taken.
     pub list: Duration,
-    /// Time without a line after which a watch counts as silent.
+    /// Time without a whole line after which a watch counts as silent.
     pub watch_silence: Duration,
     /// Longest line of a watch, in bytes.
     pub watch_line: usize,
@@ -128,7 +128,8 @@
             idle: idle * 7 / 10,
             probe: Duration::from_millis(500),
             give_up: Duration::from_secs(1),
-            list: Duration::from_secs(3),
+            // A call that fails so late leaves time for another: docs/design/fleet.md has the sum.
+            list: Duration::from_millis(1500),
             // An empty line comes every 2 s; what a silent watch misses counts as told 6 s after.
             watch_silence: Duration::from_millis(2500),
             watch_line: 4 * 1024 * 1024,
--- a/node/src/net/discovery.rs
+++ b/node/src/net/discovery.rs
@@ -1,10 +1,12 @@
 //! Discovery: the watch on the list of runners and single calls for the whole of it. It owns the
 //! version that the dispatcher holds and the watch, turns hosts into the core's list, and tells the
 //! link where runners listen. It must never hold a change back, nor decide when or where to ask
-//! again: a watch that breaks or falls silent is reported, and the module asks. A silent one is read on
-//! until the next one tells something: it may only have been late.
+//! again: a watch that breaks or falls silent is reported, and the module asks. One that is late, with its
+//! first list or later, is read on until the next one tells something.
 
 use crate::core::{Input, Listed, Source};
+use crate::net::hosts::Hosts;
+use crate::net::loss::{Due, Loss, Lost};
 use crate::net::objects::Objects;
 use crate::net::runners::{Pool, Runners};
 use crate::runtime::{Roster, Runtime};
@@ -17,45 +19,19 @@
 use std::rc::{Rc, Weak};
 use tokio::task::AbortHandle;
 
-/// A list or a change of it, as discovery writes it.
-#[derive(Clone, Debug, Default, serde::Deserialize)]
-pub struct Hosts {
-    #[serde(default)]
-    pub seq: u64,
-    #[serde(default)]
-    pub whole: bool,
-    #[serde(default)]
-    pub hosts: Vec<Host>,
-}
-
-/// One runner, as discovery writes it.
-#[derive(Clone, Debug, serde::Deserialize)]
-pub struct Host {
-    host: String,
-    dial: String,
-    #[serde(default)]
-    site: String,
-    #[serde(default)]
-    class: String,
-    #[serde(default)]
-    block: u32,
-    health: String,
-    #[serde(default)]
-    share: Option<f64>,
-    #[serde(default)]
-    born_ms: u64,
-}
-
 /// The way to discovery.
 pub struct Discovery {
     runtime: Weak<Runtime>,
     runners: Rc<Runners>,
     client: Client,
     seq: Cell<u64>,
-    /// Where `seq` was told, the number of the watch that counts, and that watch.
+    /// Where `seq` was told, how often that has changed, the number of the watch that counts, and that watch.
     at: Cell<Option<SocketAddr>>,
+    moves: Cell<u64>,
     number: Cell<u64>,
     watch: RefCell<Option<AbortHandle>>,
+    /// A loss was reported, and nothing has shown since that the list is up to date.
+    lost: Cell<bool>,
     /// Earlier watches that have not ended, until the new one tells something: what an old address still
     /// tells binds too, a silent watch may only be late, and nothing may fall between the two.
     before: RefCell<Vec<AbortHandle>>,
@@ -71,8 +47,10 @@
             client: pool.client(&runtime.limits),
             seq: Cell::new(0),
             at: Cell::new(None),
+            moves: Cell::new(0),
             number: Cell::new(0),
             watch: RefCell::default(),
+            lost: Cell::default(),
             before: RefCell::default(),
             this: this.clone(),
         })
@@ -80,14 +58,23 @@
 
     /// Takes a list or a change of it.
     pub fn take(&self, kind: sr::ListKind, hosts: Hosts) {
-        // Guards against a change that a newer list has overtaken; a whole list always holds.
-        if kind == sr::ListKind::Delta && hosts.seq < self.seq.get() {
-            return;
-        }
         self.seq.set(hosts.seq);
         self.list(kind, hosts);
     }
 
+    /// Whether newer news has overtaken a list or a change, asked for when `asked` was the version here. A whole
+    /// list older than that is of a discovery that counts anew: it holds.
+    fn overtaken(&self, asked: u64, hosts: &Hosts) -> bool {
+        hosts.seq < self.seq.get() && (!hosts.whole || hosts.seq >= asked)
+    }
+
+    /// The list was up to date just now.
+    fn alive(&self) {
+        if let Some(runtime) = self.runtime.upgrade().filter(|_| self.lost.take()) {
+            runtime.feed(Input::List(Source::Discovery, sr::ListKind::Delta, Vec::new()));
+        }
+    }
+
     fn list(&self, kind: sr::ListKind, hosts: Hosts) {
         let Some(runtime) = self.runtime.upgrade() else { return };
         let mut listed = Vec::with_capacity(hosts.hosts.len());
@@ -124,10 +111,11 @@
         runtime.feed(Input::List(Source::Discovery, kind, listed));
     }
 
-    /// Takes what was told at an address.
-    fn take_from(&self, at: SocketAddr, hosts: Hosts) {
+    /// Takes what was told to a call made after so many moves and at a version.
+    fn take_from(&self, moves: u64, asked: u64, hosts: Hosts) {
         let kind = if hosts.whole { sr::ListKind::Full } else { sr::ListKind::Delta };
-        match self.at.get() == Some(at) {
+        match self.moves.get() == moves {
+            true if self.overtaken(asked, &hosts) => log::debug!("list {kind:?} {}: overtaken", hosts.seq),
             true => self.take(kind, hosts),
             // Its versions are another address's.
             false => self.list(kind, hosts),
@@ -135,65 +123,77 @@
     }
 
     /// Reads the watch until it ends; says why it did.
-    async fn follow(&self, at: SocketAddr, number: u64) -> Result<(), String> {
+    async fn follow(&self, at: SocketAddr, number: u64) -> Result<(), Loss> {
         let runtime = self.runtime.upgrade().ok_or("the program ends")?;
         let limits = &runtime.limits;
-        let url = format!("http://{}/discovery/hosts?stream=1&index={}", at, self.seq.get());
-        let request = self.client.get(url).address(at).no_decompress().send();
-        let response = tokio::time::timeout(limits.list, request).await;
-        let mut response = response.map_err(|_| "no answer")?.map_err(|e| e.to_string())?;
+        let (asked, moves) = (self.seq.get(), self.moves.get());
+        let url = format!("http://{at}/discovery/hosts?stream=1&index={asked}");
+        // A connection of its own: one kept from an earlier call may be closed as this is written.
+        let request = self.client.get(url).address(at).no_decompress().force_close().send();
+        let mut due = Due::new(limits.list, limits.watch_silence);
+        let late = |why: &str, lost| {
+            if self.number.get() == number {
+                self.lose("watch", Loss { why: why.to_owned(), lost });
+            }
+        };
+        let mut response = due.wait(request, || late("no answer", Lost::Failed)).await??;
         if response.status() != StatusCode::OK {
-            return Err(format!("answered {}", response.status()));
+            return Err(format!("answered {}", response.status()).into());
         }
-        let mut objects = Objects::new(limits.watch_line);
-        let mut silent = false;
+        let (mut objects, mut heard) = (Objects::new(limits.watch_line), false);
         loop {
-            // An empty line comes every 2 s: silence is a connection that nobody speaks on any more.
-            let chunk = match tokio::time::timeout(limits.watch_silence, response.next()).await {
-                Err(_) if silent => return Err("still silent".to_owned()),
-                Err(_) => {
-                    silent = true;
-                    if self.number.get() == number {
-                        log::warn!("discovery: watch failed: silent");
-                        runtime.feed(Input::ListSilent);
-                    }
-                    continue;
-                }
-                Ok(None) => return Err("ended".to_owned()),
-                Ok(Some(chunk)) => chunk.map_err(|e| e.to_string())?,
-            };
-            silent = false;
-            objects.extend(&chunk);
+            let told = due.wait(response.next(), || match heard {
+                true => late("silent", Lost::Silent),
+                false => late("no list", Lost::Failed),
+            });
+            let Some(chunk) = told.await? else { return Err("ended".to_owned().into()) };
+            objects.extend(&chunk.map_err(|e| e.to_string())?);
+            let mut told = false;
             while let Some(hosts) = objects.next()? {
-                self.take_from(at, hosts);
+                told = true;
+                self.take_from(moves, asked, hosts);
+            }
+            heard |= told;
+            // Bytes alone are no sign of life: a whole object is, and then an empty line, which comes every 2 s.
+            if told || heard && objects.line() {
+                due = Due::new(limits.watch_silence, limits.watch_silence);
+                if self.moves.get() == moves {
+                    self.alive();
+                }
                 if self.number.get() == number {
                     self.before.take().iter().for_each(AbortHandle::abort);
                 }
             }
         }
     }
-
-    async fn whole(&self, at: SocketAddr) -> Result<(), String> {
+    async fn whole(&self, at: SocketAddr) -> Result<(), Loss> {
         let runtime = self.runtime.upgrade().ok_or("the program ends")?;
+        let (asked, moves) = (self.seq.get(), self.moves.get());
         let url = format!("http://{at}/discovery/hosts");
         let call = async {
-            let request = self.client.get(url).address(at).no_decompress();
-            let mut response = request.send().await.map_err(|e| e.to_string())?;
+            let request = self.client.get(url).address(at).no_decompress().force_close();
+            let mut response = request.send().await?;
             if response.status() != StatusCode::OK {
-                return Err(format!("answered {}", response.status()));
+                return Err(format!("answered {}", response.status()).into());
             }
-            response.body().limit(runtime.limits.watch_line).await.map_err(|e| e.to_string())
+            let body = response.body().limit(runtime.limits.watch_line).await;
+            body.map_err(|e| Loss::from(e.to_string()))
         };
         let body = tokio::time::timeout(runtime.limits.list, call).await.map_err(|_| "no answer")??;
         let hosts = serde_json::from_slice(&body).map_err(|e| format!("the list can't be read: {e}"))?;
-        self.take_from(at, hosts);
+        self.take_from(moves, asked, hosts);
         Ok(())
     }
 
-    fn failed(&self, what: &str, why: &str) {
-        log::warn!("discovery: {what} failed: {why}");
+    fn lose(&self, what: &str, loss: Loss) {
+        log::warn!("discovery: {what} failed: {}", loss.why);
         if let Some(runtime) = self.runtime.upgrade() {
-            runtime.feed(Input::ListFailed);
+            self.lost.set(true);
+            runtime.feed(match loss.lost {
+                Lost::Failed => Input::ListFailed,
+                Lost::Silent => Input::ListSilent,
+                Lost::Away => Input::ListAway,
+            });
         }
     }
 }
@@ -205,15 +205,16 @@
         if moved {
             // Another address may count its versions otherwise: the whole list is asked for.
             self.seq.set(0);
+            self.moves.set(self.moves.get() + 1);
         }
         let number = self.number.get() + 1;
         self.number.set(number);
         let task = actix_rt::spawn(async move {
-            if let Err(why) = this.follow(at, number).await {
+            if let Err(loss) = this.follow(at, number).await {
                 if this.number.get() == number {
-                    this.failed("watch", &why);
+                    this.lose("watch", loss);
                 } else {
-                    log::debug!("discovery: the watch before ended: {why}");
+                    log::debug!("discovery: the watch before ended: {}", loss.why);
                 }
             }
         });
@@ -226,8 +227,8 @@
     fn fetch(&self, at: SocketAddr) {
         let Some(this) = self.this.upgrade() else { return };
         actix_rt::spawn(async move {
-            if let Err(why) = this.whole(at).await {
-                this.failed("call", &why);
+            if let Err(loss) = this.whole(at).await {
+                this.lose("call", loss);
             }
         });
     }
--- /dev/null
+++ b/node/src/net/loss.rs
@@ -0,0 +1,78 @@
+//! How a watch or a call for the list is lost: when it counts as late, and what its error says of discovery.
+//! It must never decide what follows from that.
+
+use awc::error::{ConnectError, SendRequestError};
+use std::io::ErrorKind;
+use std::pin::pin;
+use std::time::Duration;
+use tokio::time::{Instant, timeout_at};
+
+/// What is known of discovery by a loss.
+pub enum Lost {
+    /// Nothing.
+    Failed,
+    /// Its watch stands and brings nothing.
+    Silent,
+    /// Nobody listens there: whatever there is to tell, it could not be had by now.
+    Away,
+}
+
+/// Why a watch or a call brings nothing more.
+pub struct Loss {
+    pub why: String,
+    pub lost: Lost,
+}
+
+impl From<String> for Loss {
+    fn from(why: String) -> Loss {
+        Loss { why, lost: Lost::Failed }
+    }
+}
+
+impl From<&str> for Loss {
+    fn from(why: &str) -> Loss {
+        why.to_owned().into()
+    }
+}
+
+impl From<SendRequestError> for Loss {
+    fn from(e: SendRequestError) -> Loss {
+        let lost = match &e {
+            SendRequestError::Connect(ConnectError::Io(io)) if io.kind() == ErrorKind::ConnectionRefused => {
+                Lost::Away
+            }
+            _ => Lost::Failed,
+        };
+        Loss { why: e.to_string(), lost }
+    }
+}
+
+/// When a watch has to have told something, for how long it is read on after that, and whether it is late.
+pub struct Due {
+    at: Instant,
+    more: Duration,
+    late: bool,
+}
+
+impl Due {
+    pub fn new(wait: Duration, more: Duration) -> Due {
+        Due { at: Instant::now() + wait, more, late: false }
+    }
+
+    /// Waits for what comes; once it is late that is told of, and it is waited for a while longer.
+    ///
+    /// # Errors
+    ///
+    /// Nothing has come by then either.
+    pub async fn wait<T>(&mut self, what: impl Future<Output = T>, late: impl FnOnce()) -> Result<T, Loss> {
+        let mut what = pin!(what);
+        if !self.late {
+            if let Ok(come) = timeout_at(self.at, &mut what).await {
+                return Ok(come);
+            }
+            late();
+            (self.at, self.late) = (self.at + self.more, true);
+        }
+        timeout_at(self.at, what).await.map_err(|_| "still nothing".into())
+    }
+}
--- a/node/src/net/objects.rs
+++ b/node/src/net/objects.rs
@@ -11,12 +11,14 @@
     most: usize,
     /// Something has come since the last try that may end an object.
     may_end: bool,
+    /// An empty line has come since the last look, outside of any object.
+    line: bool,
 }
 
 impl Objects {
     /// Holds so many bytes of an unfinished object at the most.
     pub fn new(most: usize) -> Objects {
-        Objects { bytes: BytesMut::new(), most, may_end: false }
+        Objects { bytes: BytesMut::new(), most, may_end: false, line: false }
     }
 
     /// Takes the next bytes.
@@ -45,6 +47,7 @@
             }
         }
         let blank = self.bytes.iter().take_while(|byte| byte.is_ascii_whitespace()).count();
+        self.line |= self.bytes[..blank].contains(&b'\n');
         self.bytes.advance(blank);
         if self.bytes.first().is_some_and(|byte| *byte != b'{') {
             return Err("what comes is no object".to_owned());
@@ -54,6 +57,11 @@
         }
         Ok(None)
     }
+
+    /// Whether a line has ended outside of any object since this was last asked.
+    pub fn line(&mut self) -> bool {
+        std::mem::take(&mut self.line)
+    }
 }
 
 #[cfg(test)]
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -1,6 +1,5 @@
 //! All decisions of the dispatcher; its types, events and actions stand in `src/interface/`. `price` gives
-//! each worker `C = (QL + 1) * PT + CD`, `draw` picks among the ready ones in proportion to `1 / C`. Around
-//! it stand the files beside it, each with a concern of its own.
+//! each worker `C = (QL + 1) * PT + CD`, `draw` picks among the ready ones in proportion to `1 / C`.
 
 use crate::interface::*;
 use std::collections::{BTreeSet, HashMap, VecDeque};
@@ -79,7 +78,7 @@
     safe_idle: f64,
     list_backoff: f64,
     subscribing: bool,
-    /// The watch is silent: from then on what it can't tell counts as told, and nobody may be sent to.
+    /// The watch is lost: from then on what it can't tell counts as told, and nobody may be sent to.
     blind: Option<Time>,
 }
 
@@ -97,7 +96,6 @@
             now,
             stalled: now,
             safe_idle: f64::INFINITY,
-            list_backoff: 0.2,
             mean_work: 0.1,
             scale: (SCALE_PRIOR, 10.0),
             ..Balancer::default()
@@ -128,7 +126,7 @@
         (self.now, self.at) = (now, (now - self.epoch).secs());
         if !std::mem::replace(&mut self.begun, true) {
             // Calls for the list where it must be asked for, and begins to probe at a time of its own.
-            self.list_failed(false);
+            self.lost(&Event::ListFailed);
             if self.settings.probing {
                 let wait = Span::from_secs(STALE * self.rng.f64());
                 self.out.push(Action::Timer(now + wait, HOUSEKEEPING));
@@ -137,7 +135,7 @@
         let pumps = !matches!(event, Event::Noted(..) | Event::Timer(0..PUMP));
         match event {
             Event::List(kind, entries) => self.list(kind, entries),
-            Event::ListFailed | Event::ListSilent => self.list_failed(event == Event::ListSilent),
+            Event::ListFailed | Event::ListSilent | Event::ListAway | Event::ListMoved => self.lost(&event),
             Event::Arrival(arrival) => self.arrive(arrival),
             Event::Closed(id) => self.close(id),
             Event::Extended(id, deadline) => self.watch_deadline(id, deadline),
--- a/src/balance/list.rs
+++ b/src/balance/list.rs
@@ -9,8 +9,7 @@
 
 impl Balancer {
     pub(super) fn list(&mut self, kind: ListKind, entries: Vec<ListEntry>) {
-        let alone = self.settings.drain_binds_alone;
-        let full = kind != ListKind::Delta;
+        let (alone, full) = (self.settings.drain_binds_alone, kind != ListKind::Delta);
         let missing = |old: &&mut ListEntry| full && !entries.iter().any(|e| e.worker == old.worker);
         self.entries.iter_mut().filter(missing).for_each(|old| old.standing = Standing::Gone);
         for mut entry in entries {
@@ -47,20 +46,23 @@
             w.returned |= back;
             self.entries[i] = entry;
         }
-        (self.list_backoff, self.blind) = (0.2, None);
+        (self.list_backoff, self.blind) = (0.0, self.blind.filter(|_| kind == ListKind::Saved));
     }
 
-    /// Asks again after a growing wait, shared by all: not in step, nor so often that all calls wait in vain.
-    pub(super) fn list_failed(&mut self, silent: bool) {
-        let agent = self.settings.discovery == Discovery::Agent;
-        let within = if agent { Span(0) } else { self.settings.told_within };
-        self.blind = self.blind.or((silent || agent).then_some(self.now + within));
-        if self.settings.discovery != Discovery::Pushed && !std::mem::replace(&mut self.subscribing, true) {
-            let told = self.blind.map(|_| (within.secs() * 2.0).max(1.0) * self.list_backoff);
-            let most = told.unwrap_or(self.settings.ask_within.secs().max(2.0));
-            let wait = (self.list_backoff * self.crowd()).min(most) * self.rng.f64();
-            self.list_backoff = (self.list_backoff * 2.0).min(2.0);
-            self.out.push(Action::Timer(self.now + Span::from_secs(wait), SUBSCRIBE));
+    /// Asks again in part of the time for which the list holds; then rarely, lest all calls wait in vain.
+    pub(super) fn lost(&mut self, event: &Event) {
+        let Settings { discovery: how, told_within, lost_within, .. } = self.settings;
+        let within = if *event == Event::ListSilent { told_within } else { lost_within };
+        let (within, late) = if how == Discovery::Agent { (Span(0), 0.5) } else { (within, 2.0) };
+        let told = self.blind.filter(|_| *event != Event::ListAway).unwrap_or(self.now + within);
+        self.blind = (how != Discovery::Pushed).then_some(told);
+        let asks = self.blind.is_some() && *event != Event::ListMoved;
+        if asks && !std::mem::replace(&mut self.subscribing, true) {
+            let (left, back) = ((told - self.now).secs(), self.list_backoff.max(0.2));
+            let most = if left > 0.0 { back.max(left / 3.0) } else { back * late };
+            let wait = Span::from_secs((back * self.crowd()).min(most) * self.rng.f64());
+            self.list_backoff = (back * 2.0).min(4.0);
+            self.out.push(Action::Timer(self.now + wait, SUBSCRIBE));
         }
     }
 
@@ -83,8 +85,8 @@
 
     /// Whether the list leaves the worker in use: draining binds always, gone only where the rules say so.
     pub(super) fn usable(&self, i: usize) -> bool {
-        let (standing, w) = (self.entries[i].standing, &self.workers[i]);
-        let sighted = self.blind.is_none_or(|told| self.now < told);
-        sighted && w.listed && !w.drained && (standing == Standing::Ready || self.settings.drain_binds_alone)
+        let (w, told) = (&self.workers[i], self.blind.unwrap_or(Time(u64::MAX)));
+        let listed = self.entries[i].standing == Standing::Ready || self.settings.drain_binds_alone;
+        self.now < told && w.listed && !w.drained && listed
     }
 }
--- a/src/interface/settings.rs
+++ b/src/interface/settings.rs
@@ -151,8 +151,10 @@
     /// Longest time between two calls for the list while there is no watch.
     pub ask_within: Span,
     /// From [`Event::ListSilent`] on, the time after which what the watch can't tell counts as told: 6 s
-    /// after its last sign of life by the protocol, less the 2.5 s after which it counts as silent.
+    /// after its last sign of life by the protocol, less the 2.5 s after which it counts as silent and some room.
     pub told_within: Span,
+    /// The same from the start, and from any other loss of the watch on: it is noticed at once.
+    pub lost_within: Span,
     /// Only an entry that says draining binds; one that is gone or left out may still be sent to.
     pub drain_binds_alone: bool,
     /// A worker starts at this share of its capacity or above.
@@ -193,7 +195,8 @@
             max_hold_off: Span(0),
             drain_grace: Span::from_secs(1.0),
             ask_within: Span::from_secs(10.0),
-            told_within: Span::from_secs(3.5),
+            told_within: Span::from_secs(3.3),
+            lost_within: Span::from_secs(5.8),
             drain_binds_alone: false,
             cold_from: 0.1,
             warm_after: Span::from_secs(30.0),
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -7,15 +7,21 @@
 use sablerun::*;
 use std::collections::BinaryHeap;
 
-/// How many of `fleet` dispatchers that start together have a watch after `run`, and the calls made.
-/// Discovery handles calls in turn, `pace` each; one that has waited 2 s fails, but still takes its turn.
-fn listed_after(fleet: u32, pace: Span, run: Span) -> (usize, usize) {
+/// How many of `fleet` dispatchers that start or lose their watches together have one after `run`, and the calls
+/// made. Discovery handles calls in turn, `pace` each; one that has waited 2 s fails, but still takes its turn.
+fn listed_after(fleet: u32, pace: Span, run: Span, loss: Option<&Event>) -> (usize, usize) {
     let settings = Settings { discovery: Discovery::Asked, dispatchers: fleet, probing: false, ..settings() };
     let mut worlds: Vec<World> = (0..fleet)
         .map(|number| World::new(Settings { number, ..settings.clone() }, 77 + u64::from(number)))
         .collect();
     for world in &mut worlds {
         world.list(ListKind::Saved, vec![worker(0)]);
+        if let Some(loss) = loss {
+            world.pass(ms(10_000));
+            world.list(ListKind::Full, vec![worker(0)]);
+            world.log.clear();
+            world.event(loss.clone());
+        }
     }
     // Answers under way: when, to whom, and whether it is the list.
     let mut answers: BinaryHeap<std::cmp::Reverse<(Time, usize, bool)>> = BinaryHeap::new();
@@ -54,9 +60,20 @@
 /// Guards against a fleet that keeps discovery's line full of calls which end unanswered.
 #[test]
 fn a_fleet_that_starts_together_gets_its_list() {
-    let (listed, calls) = listed_after(100, ms(50), ms(20_000));
+    let (listed, calls) = listed_after(100, ms(50), ms(20_000), None);
     assert_eq!(listed, 100, "all watch after four times what their calls take");
     assert!(calls <= 300, "{calls} calls for 100 watches");
     // A small site is not made to wait.
-    assert_eq!(listed_after(5, ms(50), ms(500)), (5, 5));
+    assert_eq!(listed_after(5, ms(50), ms(500), None), (5, 5));
+}
+
+/// The whole fleet's calls fit into the time for which a lost list holds, and nobody calls twice for them.
+#[test]
+fn a_fleet_that_loses_its_watches_together_is_back_while_the_list_holds() {
+    for loss in [Event::ListFailed, Event::ListSilent] {
+        let settings = settings();
+        let holds = if loss == Event::ListSilent { settings.told_within } else { settings.lost_within };
+        let (listed, calls) = listed_after(300, ms(8), holds, Some(&loss));
+        assert_eq!((listed, calls), (300, 300), "after {loss:?}");
+    }
 }
