Force the crossings of the watch by tests; a late watch is read on for 10 s; short waits for small fleets

tests: node/tests/watches.rs (trickling bytes, a call never answered, an empty line on a late watch, an old list that newer news crossed, a discovery that counts anew, a kept connection), stand-in with the plans for them.

--- a/lab/src/discovery.rs
+++ b/lab/src/discovery.rs
@@ -10,10 +10,12 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::net::TcpListener;
-use tokio::sync::broadcast;
+use tokio::sync::{broadcast, watch};
 
 /// Time between the empty lines of a watch.
 const QUIET: Duration = Duration::from_secs(2);
+/// Time between the bytes of an object that never ends.
+const TRICKLE: Duration = Duration::from_millis(500);
 
 struct State {
     seq: u64,
@@ -31,6 +33,16 @@
     Reset,
     /// The list, and no line after it.
     Silent,
+    /// No answer at all.
+    Mute,
+    /// The list, no line after it until the first [`Discovery::resume`], then an empty one and what has changed.
+    Late,
+    /// The list as it is at the call, written at the second [`Discovery::resume`].
+    Held,
+    /// The list, and then an object a byte at a time that never ends.
+    Trickle,
+    /// 503, and the connection's end as a further call comes on it.
+    Last,
 }
 
 #[derive(Clone)]
@@ -45,6 +57,7 @@
 pub struct Discovery {
     state: Arc<Mutex<State>>,
     changes: broadcast::Sender<Change>,
+    resumed: watch::Sender<usize>,
     /// The calls' first lines.
     pub calls: Events,
     /// Where each dispatcher asks.
@@ -75,7 +88,7 @@
         let plan = plan.iter().copied().collect();
         let state = Arc::new(Mutex::new(State { seq: 1, hosts, plan }));
         let (changes, calls) = (broadcast::channel(64).0, Events::default());
-        let discovery = Discovery { state, changes, calls, at };
+        let discovery = Discovery { state, changes, resumed: watch::channel(0).0, calls, at };
         for (dispatcher, listener) in listeners.into_iter().enumerate() {
             let discovery = discovery.clone();
             tokio::spawn(async move {
@@ -105,6 +118,18 @@
         let _ = self.changes.send(Change::Told(state.seq, changed.to_vec()));
     }
 
+    /// Goes on where the plan has it wait for that.
+    pub fn resume(&self) {
+        self.resumed.send_modify(|times| *times += 1);
+    }
+
+    /// Begins to count anew, as one that was restarted: watches end, and this is the list.
+    pub fn restart(&self, hosts: Vec<Vec<Value>>) {
+        let mut state = self.state.lock().expect("no holder panics");
+        (state.seq, state.hosts) = (1, hosts);
+        let _ = self.changes.send(Change::Broken);
+    }
+
     /// Breaks every watch.
     pub fn break_watches(&self) {
         let _ = self.changes.send(Change::Broken);
@@ -112,7 +137,7 @@
 
     async fn serve(&self, dispatcher: usize, mut connection: Connection) -> std::io::Result<()> {
         while let Some(request) = connection.read().await? {
-            let mut changes = self.changes.subscribe();
+            let (mut changes, mut resumed) = (self.changes.subscribe(), self.resumed.subscribe());
             let (whole, planned) = {
                 let mut state = self.state.lock().expect("no holder panics");
                 let whole = json!({"seq": state.seq, "whole": true, "hosts": state.hosts[dispatcher]});
@@ -124,8 +149,15 @@
                     connection.write("HTTP/1.1 503 Busy", b"").await?;
                     continue;
                 }
+                Some(Planned::Last) => {
+                    connection.write("HTTP/1.1 503 Busy", b"").await?;
+                    let _ = connection.read().await;
+                    return Ok(());
+                }
                 Some(Planned::Reset) => return Ok(()),
-                Some(Planned::Silent) | None => {}
+                Some(Planned::Mute) => std::future::pending().await,
+                Some(Planned::Held) => _ = resumed.wait_for(|times| *times >= 2).await,
+                _ => {}
             }
             if !request.target.contains("stream=1") {
                 connection.write("HTTP/1.1 200 OK", whole.as_bytes()).await?;
@@ -140,8 +172,21 @@
                     let head = format!("{:x}\r\n", part.len());
                     connection.raw(&[head.as_bytes(), part, b"\r\n"].concat()).await?;
                 }
-                if planned == Some(Planned::Silent) {
-                    std::future::pending::<()>().await;
+                match planned {
+                    Some(Planned::Silent) => std::future::pending().await,
+                    Some(Planned::Late) if *resumed.borrow() == 0 => {
+                        let _ = resumed.wait_for(|times| *times >= 1).await;
+                        line = String::new();
+                        continue;
+                    }
+                    Some(Planned::Trickle) => {
+                        connection.raw(b"1\r\n{\r\n").await?;
+                        loop {
+                            tokio::time::sleep(TRICKLE).await;
+                            connection.raw(b"1\r\n \r\n").await?;
+                        }
+                    }
+                    _ => {}
                 }
                 line = match tokio::time::timeout(QUIET, changes.recv()).await {
                     Err(_) => String::new(),
--- a/lab/src/scripted.rs
+++ b/lab/src/scripted.rs
@@ -252,6 +252,16 @@
         self.service.tell(&[hosts.to_vec()]);
     }
 
+    /// Goes on where the plan has it wait for that.
+    pub fn resume(&self) {
+        self.service.resume();
+    }
+
+    /// Begins to count its versions anew, with this list.
+    pub fn restart(&self, hosts: Vec<Value>) {
+        self.service.restart(vec![hosts]);
+    }
+
     /// Breaks every watch.
     pub fn break_watches(&self) {
         self.service.break_watches();
--- a/node/src/limits.rs
+++ b/node/src/limits.rs
@@ -61,6 +61,8 @@
     pub list: Duration,
     /// Time without a whole line after which a watch counts as silent.
     pub watch_silence: Duration,
+    /// Time for which a watch that is late is read on, unless the next one tells something.
+    pub watch_late: Duration,
     /// Longest line of a watch, in bytes.
     pub watch_line: usize,
     /// Time for which the program goes on as usual after SIGTERM.
@@ -132,6 +134,7 @@
             list: Duration::from_millis(1500),
             // An empty line comes every 2 s; what a silent watch misses counts as told 6 s after.
             watch_silence: Duration::from_millis(2500),
+            watch_late: Duration::from_secs(10),
             watch_line: 4 * 1024 * 1024,
             // Clients use the connections they have while those stay open; the rest of the time is for
             // the last jobs to be done.
--- a/node/src/net/discovery.rs
+++ b/node/src/net/discovery.rs
@@ -130,7 +130,7 @@
         let url = format!("http://{at}/discovery/hosts?stream=1&index={asked}");
         // A connection of its own: one kept from an earlier call may be closed as this is written.
         let request = self.client.get(url).address(at).no_decompress().force_close().send();
-        let mut due = Due::new(limits.list, limits.watch_silence);
+        let mut due = Due::new(limits.list, limits.watch_late);
         let late = |why: &str, lost| {
             if self.number.get() == number {
                 self.lose("watch", Loss { why: why.to_owned(), lost });
@@ -156,7 +156,7 @@
             heard |= told;
             // Bytes alone are no sign of life: a whole object is, and then an empty line, which comes every 2 s.
             if told || heard && objects.line() {
-                due = Due::new(limits.watch_silence, limits.watch_silence);
+                due = Due::new(limits.watch_silence, limits.watch_late);
                 if self.moves.get() == moves {
                     self.alive();
                 }
--- /dev/null
+++ b/node/tests/watches.rs
@@ -0,0 +1,94 @@
+//! The watch and what may cross it: silence of every kind, news that overtakes a list, calls that are late.
+
+mod common;
+
+use common::*;
+
+/// Two runners, discovery that goes as planned and tells of the first alone, and the program.
+fn start(plan: &[Planned]) -> (Runner, Runner, Discovery, Program) {
+    let (one, two) = (Runner::start("s-0"), Runner::start("s-1"));
+    let discovery = Discovery::planned(vec![host("s-0", one.at, "hall-a", "active")], plan);
+    let program = Program::start(&discovery, settings(), None);
+    one.call_back_to(&program);
+    two.call_back_to(&program);
+    (one, two, discovery, program)
+}
+
+fn ask(program: &Program) -> Message {
+    call(program.at, &api("pick-route", &new_id(), "300m", ""), "x")
+}
+
+/// Bytes that never end an object are no sign of life.
+#[test]
+fn a_watch_that_trickles_is_silent() {
+    let (_one, _two, discovery, program) = start(&[Planned::Trickle]);
+    program.log.wait("watch failed: silent", 1);
+    discovery.calls.wait("stream=1", 2);
+    program.log.wait("list Full", 2);
+    assert_eq!(ask(&program).body, "by s-0");
+}
+
+/// Silent from the first byte on: called for anew in time, and what answers then counts.
+#[test]
+fn a_call_that_is_never_answered_is_made_anew() {
+    let (_one, _two, discovery, program) = start(&[Planned::Mute]);
+    program.log.wait("watch failed: no answer", 1);
+    discovery.calls.wait("stream=1", 2);
+    program.log.wait("list Full", 1);
+    assert_eq!(ask(&program).body, "by s-0");
+}
+
+/// Nobody is sent to once what a silent watch misses counts as told; an empty line on that very watch shows that
+/// it was only late, and all goes on.
+#[test]
+fn an_empty_line_on_a_watch_that_was_late_ends_the_blindness() {
+    let plan: Vec<_> = std::iter::once(Planned::Late).chain([Planned::Mute; 20]).collect();
+    let (one, _two, discovery, program) = start(&plan);
+    program.log.wait("watch failed: silent", 1);
+    while ask(&program).status() == 200 {}
+    let sent = one.seen.count("POST");
+    assert_ne!(ask(&program).status(), 200, "still blind");
+    assert_eq!(one.seen.count("POST"), sent);
+    discovery.resume();
+    while ask(&program).status() != 200 {
+        assert!(program.log.count("no answer") < 15, "blind for good");
+    }
+}
+
+/// The list that a new watch tells was made before a change that the old one told meanwhile: it is passed over.
+#[test]
+fn a_list_that_newer_news_has_crossed_is_passed_over() {
+    let (one, two, discovery, program) = start(&[Planned::Late, Planned::Held]);
+    discovery.calls.wait("stream=1", 2);
+    let leaving = host("s-0", one.at, "hall-a", "leaving");
+    discovery.tell(&[leaving, host("s-1", two.at, "hall-a", "active")]);
+    discovery.resume();
+    program.log.wait("list Delta 2", 1);
+    discovery.resume();
+    discovery.calls.wait("stream=1", 2);
+    discovery.tell(&[host("s-1", two.at, "hall-a", "active")]);
+    program.log.wait("list Delta 3", 1);
+    assert_eq!(program.log.count("list Full 1: 1 entries"), 1, "the list from before the drain was taken");
+    assert_eq!(ask(&program).body, "by s-1");
+}
+
+/// A discovery that was restarted counts anew: its list holds, however low its version.
+#[test]
+fn a_discovery_that_counts_anew_is_believed() {
+    let (one, two, discovery, program) = start(&[]);
+    for n in 2..5 {
+        discovery.tell(&[host("s-0", one.at, "hall-a", "active")]);
+        program.log.wait(&format!("list Delta {n}"), 1);
+    }
+    discovery.restart(vec![host("s-1", two.at, "hall-a", "active")]);
+    program.log.wait("list Full 1", 2);
+    assert_eq!(ask(&program).body, "by s-1");
+}
+
+/// A connection that discovery closes as a further call comes on it costs no call: none is used twice.
+#[test]
+fn no_call_is_written_to_a_connection_that_was_kept() {
+    let (_one, _two, _discovery, program) = start(&[Planned::Last]);
+    program.log.wait("list Full", 1);
+    assert_eq!(program.log.count("watch failed"), 1);
+}
--- a/src/balance/list.rs
+++ b/src/balance/list.rs
@@ -60,7 +60,7 @@
         if asks && !std::mem::replace(&mut self.subscribing, true) {
             let (left, back) = ((told - self.now).secs(), self.list_backoff.max(0.2));
             let most = if left > 0.0 { back.max(left / 3.0) } else { back * late };
-            let wait = Span::from_secs((back * self.crowd()).min(most) * self.rng.f64());
+            let wait = Span::from_secs((back.min(1.0) * self.crowd()).min(most) * self.rng.f64());
             self.list_backoff = (back * 2.0).min(4.0);
             self.out.push(Action::Timer(self.now + wait, SUBSCRIBE));
         }
