--- a/src/balance.rs
+++ b/src/balance.rs
@@ -29,7 +29,7 @@
 /// A while without events that may be a stall of this dispatcher, in seconds.
 const STALL: f64 = 0.3;
 /// Times what is usual beyond which a figure is taken for no more: a single absurd one must cost nobody else.
-const ODD: f64 = 16.0;
+const ODD: f64 = 64.0;
 const PUMP: u64 = 1 << 62;
 const HOUSEKEEPING: u64 = PUMP + 1;
 const SUBSCRIBE: u64 = PUMP + 2;
--- a/src/balance/ledger.rs
+++ b/src/balance/ledger.rs
@@ -54,7 +54,7 @@
         let w = &mut self.workers[i];
         let group = &mut self.peers[w.group];
         (w.others, w.others_at) = (others.clamp(0.0, group.slots * ODD), self.at);
-        group.others += SIGHT.0 * (w.others.min(group.slots * 2.0) - group.others);
+        group.others += SIGHT.0 * (w.others.min(group.slots * 4.0) - group.others);
         group.seen_at = self.at;
     }
 
