Hold the ramp of cold workers for the whole fleet: turns counted step by step, in mean jobs

The budget N of a cold worker, from the settings, was kept on average but not in each window.

Causes, each seen in printed rates and turns of the worst windows: - A new dispatcher took a mean request for 0.1 s and learned slowly (0.03 of the way for each request). With 0.57 s in truth a turn was a sixth of one, and half of the dispatchers had one at once, not a tenth. One dispatcher of thirty has a turn in ten seconds: the rise of warmth and pace counted for all of them. Now they are counted at each event. - A light job cost a fraction of a turn. Its sender had the next turn soon, as had most others (18 of 30 within the last fifth of a turn, 6 expected), while the debts of heavy jobs, which pay for that, came only later. Now it ends its turn where few can be saved (1 less what a fall brings): few dispatchers lose nothing.

--- a/src/balance/line.rs
+++ b/src/balance/line.rs
@@ -21,9 +21,8 @@
         stat.longest = stat.longest.max(window);
         let retry = if self.settings.marks_retries { arrival.retry } else { window > stat.longest / 3.0 };
         let age = if retry { (stat.longest - window).max(0.0) } else { 0.0 };
-        let hint = estimate.secs();
-        let work = if hint > 0.0 { hint * self.scale.0 } else { stat.mean.0 };
-        let mean = stat.mean.0;
+        let (hint, mean) = (estimate.secs(), stat.mean.0);
+        let work = if hint > 0.0 { hint * self.scale.0 } else { mean };
         let start_by = |share: f64| {
             let slack =
                 settings.objective.secs() + share * (settings.stretch - 1.0).max(0.0) * mean.max(work);
@@ -36,7 +35,7 @@
             Effect::Unsafe => deadline,
             _ => start_by(2.0),
         };
-        self.mean_work += 0.03 * (mean * slots - self.mean_work);
+        learn(&mut self.mean_work, mean * slots, 1e-3);
         let rank = (work * slots / settings.worth * 1e6) as u64;
         let by_work = self.settings.worth_by_work;
         let dear = |class: &Class, stat: &ClassStat| class.worth / if by_work { 1.0 } else { stat.mean.0 };
@@ -121,7 +120,6 @@
             }
             self.further.push_back(self.now);
         }
-        let turns = self.cold_turns(i);
         let request = self.requests.get_mut(&id).expect("looked up above");
         self.held.remove(&(request.over_share, request.rank, id));
         let w = &mut self.workers[i];
@@ -133,16 +131,16 @@
             w.idle.clear();
             idle = 0.0;
         }
-        (w.turns, w.turns_at) = (turns - request.work * request.slots / self.mean_work, self.at);
-        w.returned = false;
-        (w.load.own, w.load.waiting) = (w.load.own + request.slots, w.load.waiting + 1);
+        // A light job ends a turn that few could save: else most would have their next ones close together.
+        w.turns.0 -= (request.work * request.slots / self.mean_work.0).max(1.0 - w.turns.1);
+        (w.load.own, w.load.waiting, w.returned) = (w.load.own + request.slots, w.load.waiting + 1, false);
         w.trial = w.trial.map(|_| self.at + TRIAL);
         let (worker, sent, heard) = (i, self.now, self.now);
         request.attempts.push(Attempt { worker, sent, heard, idle, ..Attempt::default() });
         self.out.push(Action::Send(id, WorkerId(i as u32)));
         if self.settings.tells_start {
-            let due = self.start_due(i, idle, class);
-            self.out.push(Action::Timer(self.now + due, attempt_token(id, number)));
+            self.out
+                .push(Action::Timer(self.now + self.start_due(i, idle, class), attempt_token(id, number)));
         }
     }
 
--- a/src/balance/list.rs
+++ b/src/balance/list.rs
@@ -40,7 +40,7 @@
                 let w = &mut self.workers[i];
                 let (load, transfer, now) = (w.load, w.transfer, self.at);
                 *w = Worker { load, transfer, group, heard: now, others_at: now, ..Worker::default() };
-                (w.turns, w.turns_at) = ((place + 0.618 * i as f64).fract(), now - age);
+                (w.turns.0, w.turns_at) = ((place + 0.618 * i as f64).fract(), now - age);
             }
             let w = &mut self.workers[i];
             (w.listed, w.drained) = (true, held || entry.standing == Standing::Draining);
--- a/src/balance/price.rs
+++ b/src/balance/price.rs
@@ -20,16 +20,17 @@
         (self.settings.cold_from + rise).min(1.0)
     }
 
-    /// Turns to send a cold worker a mean job, as many a second as fit in its budget, one dispatcher after
-    /// the other; one not used in time is lost. Could do harm where few carry most of the traffic.
-    pub(super) fn cold_turns(&self, i: usize) -> f64 {
-        let w = &self.workers[i];
-        let capacity =
-            self.peers(i).slots.min(self.peers(i).free) / self.slowness(i) * self.warmth(i) / self.mean_work;
+    /// Counts the turns to send a cold worker a mean job: as many a second as fit in its budget, one
+    /// dispatcher after the other; what is not used in time is lost. At each event, since beliefs change.
+    pub(super) fn count_turns(&mut self) {
         let share = self.settings.fall_multiple * COLD_USE / f64::from(self.settings.dispatchers);
-        let turns = w.turns + capacity * share * (self.at - w.turns_at);
-        let kept = capacity * share * self.settings.fall.secs();
-        if turns > kept + 1.0 { turns - (turns - kept).floor() } else { turns }
+        for i in (0..self.workers.len()).filter(|i| self.warmth(*i) < 1.0).collect::<Vec<_>>() {
+            let slots = self.peers(i).slots.min(self.peers(i).free);
+            let rate = slots / self.slowness(i) * self.warmth(i) / self.mean_work.0.max(1e-3) * share;
+            let w = &mut self.workers[i];
+            let (turns, kept) = (w.turns.0 + rate * (self.at - w.turns_at), rate * self.settings.fall.secs());
+            (w.turns, w.turns_at) = ((turns - (turns - kept).floor().max(0.0), kept), self.at);
+        }
     }
 
     /// Whether a worker would take the request at once, by belief.
--- a/src/balance/retries.rs
+++ b/src/balance/retries.rs
@@ -40,7 +40,7 @@
         let entry = &self.entries[i];
         let class = &self.settings.classes[request.class];
         let fits = self.usable(i) && class.kind.is_none_or(|kind| kind == entry.kind);
-        if !fits || self.warmth(i) < 1.0 && self.cold_turns(i) < 1.0 {
+        if !fits || self.warmth(i) < 1.0 && self.workers[i].turns.0 < 1.0 {
             return false;
         }
         let Some(first) = self.may_have_run(request) else { return true };
--- a/src/balance/state.rs
+++ b/src/balance/state.rs
@@ -38,8 +38,8 @@
     pub(super) idle: Vec<f64>,
     /// While suspect: when it may be tried.
     pub(super) trial: Option<f64>,
-    /// Turns to send to it while cold, and when that was counted.
-    pub(super) turns: f64,
+    /// Turns to send to it while cold, those of them that may be saved up, and when that was counted.
+    pub(super) turns: (f64, f64),
     pub(super) turns_at: f64,
     /// A list has named it; one has called it draining since its process last started.
     pub(super) listed: bool,
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -2,6 +2,7 @@
 //! on every action. It models no server; the test says what each attempt does.
 #![allow(dead_code, unused_imports)]
 
+pub mod cold;
 mod play;
 pub mod workers;
 mod world;
