Serve what is paid for when late until its deadline instead of giving it up at its aim

Cause: `late_worth` of a class stood in the settings and was read nowhere. A request was refused, or withdrawn from where it waited, soon after its aim, whatever a late answer pays. Ruled out: reports (no probe was answered with a field of use; refusals do not rest on them), rooms believed (5, true 4 to 5), failures (none beyond the limit), cold workers.

Change: where a late answer pays and misses are not weighed, a request may start, and wait, until its deadline.

--- a/src/balance/ledger.rs
+++ b/src/balance/ledger.rs
@@ -43,8 +43,7 @@
     /// Slots taken and queued at a worker: own ones, and others' as last seen, fading to what is usual.
     pub(super) fn queue(&self, i: usize) -> f64 {
         let w = &self.workers[i];
-        let age = self.at - w.others_at;
-        let fade = (-age / (2.0 * self.mean_work).max(0.02)).exp();
+        let fade = (-(self.at - w.others_at) / (2.0 * self.mean_work).max(0.02)).exp();
         let group = self.peers(i);
         let usual = group.others * (-(self.at - group.seen_at) / FORGET).exp();
         w.load.own + usual + (w.others - usual) * fade
--- a/src/balance/line.rs
+++ b/src/balance/line.rs
@@ -21,19 +21,20 @@
         stat.longest = stat.longest.max(window);
         let retry = if self.settings.marks_retries { arrival.retry } else { window > stat.longest / 3.0 };
         let age = if retry { (stat.longest - window).max(0.0) } else { 0.0 };
-        let hint = estimate.secs();
-        let work = if hint > 0.0 { hint * self.scale.0 } else { stat.mean.0 };
-        let mean = stat.mean.0;
+        let (hint, mean) = (estimate.secs(), stat.mean.0);
+        let work = if hint > 0.0 { hint * self.scale.0 } else { mean };
         let start_by = |share: f64| {
             let slack =
                 settings.objective.secs() + share * (settings.stretch - 1.0).max(0.0) * mean.max(work);
             (self.now + Span::from_secs((slack - age).max(0.0))).min(deadline)
         };
-        let latest = start_by(SLACK_USED);
-        // Where misses are weighed, a refusal in time is none. Unsafe work, which could only fail, waits on.
+        // Where misses are weighed, a refusal in time is none. Unsafe work, which could only fail, waits on;
+        // so does what is paid for when late: given up, it would run for nothing and come again.
+        let late = settings.late_worth > 0.0 && self.settings.tail.weight == 0.0;
+        let latest = if late { deadline } else { start_by(SLACK_USED) };
         let withdraw = match settings.effect {
             _ if self.settings.tail.weight > 0.0 => latest,
-            Effect::Unsafe => deadline,
+            effect if late || effect == Effect::Unsafe => deadline,
             _ => start_by(2.0),
         };
         self.mean_work += 0.03 * (mean * slots - self.mean_work);
--- a/src/balance/price.rs
+++ b/src/balance/price.rs
@@ -14,8 +14,7 @@
 impl Balancer {
     /// Share of its capacity that a worker can be counted on for, given its start.
     pub(super) fn warmth(&self, i: usize) -> f64 {
-        let up = self.entries[i].up_since;
-        let age = up.map_or(f64::INFINITY, |up| (self.now - up).secs());
+        let age = self.entries[i].up_since.map_or(f64::INFINITY, |up| (self.now - up).secs());
         let rise = (1.0 - self.settings.cold_from) * age / self.settings.warm_after.secs().max(1e-3);
         (self.settings.cold_from + rise).min(1.0)
     }
--- a/tests/overload.rs
+++ b/tests/overload.rs
@@ -163,3 +163,29 @@
         );
     }
 }
+
+/// What is paid for when late waits on, held here or at a worker, and a late retry of it is sent: given up, it
+/// would run for nothing where it waits, and come again.
+#[test]
+fn what_pays_when_late_is_not_given_up() {
+    for (late_worth, served) in [(0.5, true), (0.0, false)] {
+        let classes = vec![Class { late_worth, ..class(Effect::Safe) }];
+        let settings = Settings { zone: None, classes, marks_retries: true, max_attempts: 1, ..settings() };
+        let mut world = World::new(settings, 33);
+        world.list(ListKind::Saved, vec![worker(0)]);
+        world.arrive(0, 0);
+        world.pass(ms(3000));
+        assert_eq!(world.requests[&RequestId(0)].settled, !served, "waiting at a worker");
+        world.end(0, 0, Outcome::Ok);
+        world.retry_until(1, 0, world.now + ms(1000));
+        assert_eq!(world.requests[&RequestId(1)].attempts.len(), usize::from(served), "a late retry");
+        world.end(1, 0, Outcome::Ok);
+        world.list(ListKind::Full, Vec::new());
+        world.arrive(2, 0);
+        world.pass(ms(3000));
+        assert_eq!(world.requests[&RequestId(2)].settled, !served, "held here");
+        world.pass(ms(3000));
+        assert!(world.requests[&RequestId(2)].settled, "never past the deadline");
+        assert!(world.broken.is_empty(), "{:?}", world.broken);
+    }
+}
