Take a job's own time out of the pace that its class's mean is learned by

Cause: at a job's end its class's mean was learned from its running time over the worker's slowness, and that slowness counted the same job's time so far, without the job. Each long job so made its worker slow and was booked as a shorter one. The pace, in units of the mean, then rose as the mean fell, so nothing held it: a dispatcher that sends each worker a job now and then wears its means down. Aims, patience and the price of work rest on that mean.

Change: the job is taken off its worker before the worker's slowness is read.

Test: long_jobs_do_not_wear_their_class_mean_down holds 1.8 s in place of 6.5 s on and with this change taken back alone, and passes with it.

--- a/src/balance/outcomes.rs
+++ b/src/balance/outcomes.rs
@@ -47,7 +47,6 @@
         let (i, sent, started, idle) = (attempt.worker, attempt.sent, attempt.started, attempt.idle);
         let due = self.start_due(i, idle, class);
         report.into_iter().for_each(|report| self.reported(i, report));
-        let slowness = self.slowness(i);
         self.turned_away += 0.1 * (f64::from(u8::from(outcome == Outcome::Full)) - self.turned_away);
         if started.is_none() && outcome != Outcome::Moot {
             self.start_seen(i, false);
@@ -57,7 +56,9 @@
             self.workers[i].idle.push(self.at);
             (self.workers[i].heard, self.workers[i].trial) = (self.at, None);
         }
+        // Without this job's own time, by which each long job would be a slow worker's.
         self.unload(id, number as usize);
+        let slowness = self.slowness(i);
         let w = &mut self.workers[i];
         match outcome {
             Outcome::Ok => {
--- a/tests/overload.rs
+++ b/tests/overload.rs
@@ -189,3 +189,23 @@
         assert!(world.broken.is_empty(), "{:?}", world.broken);
     }
 }
+
+/// Long jobs are not taken for slow workers: a class's mean stays what its jobs take, and with it the time
+/// for which a request is held, here twelve times that mean beside the objective.
+#[test]
+fn long_jobs_do_not_wear_their_class_mean_down() {
+    let long = Class { objective: ms(500), stretch: 41.0, deadline: ms(60_000), ..class(Effect::Safe) };
+    let mut world = World::new(Settings { zone: None, classes: vec![long], ..settings() }, 34);
+    world.list(ListKind::Saved, (0..40).map(worker).collect());
+    for n in 0..400 {
+        world.arrive(n, 0);
+        serve(&mut world, ms([50, 100, 300, 1550][n as usize % 4]));
+    }
+    world.list(ListKind::Full, Vec::new());
+    let came = world.now;
+    world.arrive(400, 0);
+    world.pass(ms(60_000));
+    let refused = world.log.iter().find(|(_, a)| matches!(a, Action::Refuse(RequestId(400), _)));
+    let held = refused.map(|(at, _)| (*at - came).secs()).expect("refused");
+    assert!((0.5 + 12.0 * 0.4..0.5 + 12.0 * 0.6).contains(&held), "{held} s held, 6.5 s by the true mean");
+}
