--- a/src/balance/line.rs
+++ b/src/balance/line.rs
@@ -29,11 +29,13 @@
                 settings.objective.secs() + share * (settings.stretch - 1.0).max(0.0) * mean.max(work);
             (self.now + Span::from_secs((slack - age).max(0.0))).min(deadline)
         };
-        let latest = start_by(SLACK_USED);
-        // Where misses are weighed, a refusal in time is none. Unsafe work, which could only fail, waits on.
+        // Where misses are weighed, a refusal in time is none. Unsafe work, which could only fail, waits on;
+        // so does what is paid for when late: given up, it would run for nothing and come again.
+        let late = settings.late_worth > 0.0 && self.settings.tail.weight == 0.0;
+        let latest = if late { deadline } else { start_by(SLACK_USED) };
         let withdraw = match settings.effect {
             _ if self.settings.tail.weight > 0.0 => latest,
-            Effect::Unsafe => deadline,
+            effect if late || effect == Effect::Unsafe => deadline,
             _ => start_by(2.0),
         };
         learn(&mut self.mean_work, mean * slots, 1e-3);
