--- a/src/balance/line.rs
+++ b/src/balance/line.rs
@@ -110,16 +110,14 @@
 
     /// The one place that sends.
     pub(super) fn send(&mut self, id: RequestId, i: usize) {
+        let early = self.turn_at(id) != Some(self.now);
         let request = &self.requests[&id];
         let (number, class) = (request.attempts.len(), request.class);
-        let blocked = !self.settings.parallel && request.outstanding();
+        let blocked = early || !self.settings.parallel && request.outstanding();
         if request.settled || blocked || number >= request.most_attempts || !self.allowed(request, i) {
             return;
         }
         if number > 0 {
-            if self.turn_at(id) != Some(self.now) {
-                return;
-            }
             self.further.push_back(self.now);
         }
         let request = self.requests.get_mut(&id).expect("looked up above");
@@ -137,8 +135,8 @@
         w.turns.0 -= (request.work * request.slots / self.mean_work.0).max(1.0 - w.turns.1);
         (w.load.own, w.load.waiting, w.returned) = (w.load.own + request.slots, w.load.waiting + 1, false);
         w.trial = w.trial.map(|_| self.at + TRIAL);
-        let (worker, sent, heard) = (i, self.now, self.now);
-        request.attempts.push(Attempt { worker, sent, heard, idle, ..Attempt::default() });
+        let (worker, now) = (i, self.now);
+        request.attempts.push(Attempt { worker, sent: now, heard: now, idle, ..Attempt::default() });
         self.out.push(Action::Send(id, WorkerId(i as u32)));
         if self.settings.tells_start {
             self.out
--- a/src/balance/list.rs
+++ b/src/balance/list.rs
@@ -41,9 +41,8 @@
                 *w = Worker { load, transfer, group, heard: now, others_at: now, ..Worker::default() };
                 (w.turns.0, w.turns_at) = ((place + 0.618 * i as f64).fract(), now - age);
             }
-            let w = &mut self.workers[i];
-            (w.listed, w.drained) = (true, held || entry.standing == Standing::Draining);
-            w.returned |= back;
+            let (w, drains) = (&mut self.workers[i], entry.standing == Standing::Draining);
+            (w.listed, w.drained, w.returned) = (true, held || drains, w.returned || back);
             self.entries[i] = entry;
         }
         (self.list_backoff, self.blind) = (0.0, self.blind.filter(|_| kind == ListKind::Saved));
--- a/src/balance/price.rs
+++ b/src/balance/price.rs
@@ -5,7 +5,7 @@
 /// Floor of a price, in seconds (the paper's xi).
 const FLOOR: f64 = 1e-4;
 /// Share of a cold worker's budget that all dispatchers together plan to use; many have no use for theirs.
-const COLD_USE: f64 = 0.5;
+const COLD_USE: f64 = 0.53;
 /// Share of its aim by which a hinted job must be expected to end where it is sent: hints and paces err.
 const IN_TIME: f64 = 0.9;
 /// What starts at home must be late more often, beyond the price of crossing: shares differ so by chance.
