--- /dev/null
+++ b/node/src/net/platform/reply.rs
@@ -0,0 +1,34 @@
+//! Answers before they are written. It owns how they are worded; it must never decide which one is given.
+
+use actix_http::StatusCode;
+use actix_http::header::{self, HeaderName};
+use bytes::Bytes;
+
+/// An answer before it is written.
+pub(super) struct Reply {
+    pub status: StatusCode,
+    pub header: Option<(HeaderName, String)>,
+    pub body: Bytes,
+    pub close: bool,
+}
+
+impl Reply {
+    pub fn new(status: StatusCode, body: &'static str) -> Reply {
+        Reply { status, header: None, body: Bytes::from_static(body.as_bytes()), close: false }
+    }
+
+    pub fn bad(what: String) -> Reply {
+        // Whoever wrote that has nothing to say that would be worth a place.
+        Reply { body: what.into(), close: true, ..Reply::new(StatusCode::BAD_REQUEST, "") }
+    }
+
+    pub fn too_large() -> Reply {
+        // The rest of the body is not read, so the connection can't be kept.
+        Reply { close: true, ..Reply::new(StatusCode::PAYLOAD_TOO_LARGE, "body: too large") }
+    }
+
+    pub fn not_allowed(allowed: &str) -> Reply {
+        let header = Some((header::ALLOW, allowed.to_owned()));
+        Reply { header, ..Reply::new(StatusCode::METHOD_NOT_ALLOWED, "") }
+    }
+}
--- /dev/null
+++ b/node/src/net/platform/requests.rs
@@ -0,0 +1,190 @@
+//! Requests from their heads to their answers: clients' jobs, runners' call-backs and the ready check. It
+//! owns which is which and reads their bodies. It must never give an answer of its own to a request it
+//! has handed to the core, nor keep one back.
+
+use crate::core::{Answer, Arrival, Input};
+use crate::figures::Counted;
+use crate::net::callbacks::{self, CallBack};
+use crate::net::peers::Handed;
+use crate::net::platform::Front;
+use crate::net::platform::connection::{Carried, Connection};
+use crate::net::platform::head::{Head, text};
+use crate::net::platform::reply::Reply;
+use crate::net::platform::stream::Scan;
+use crate::runtime::{Here, Job};
+use actix_http::header::{self, HeaderName};
+use actix_http::{HttpMessage, Method, Request, Response, StatusCode};
+use bytes::{Bytes, BytesMut};
+use futures_util::StreamExt;
+use sablerun as sr;
+use std::convert::Infallible;
+use std::rc::Rc;
+use std::time::Instant;
+use tokio::task::AbortHandle;
+
+impl Front {
+    pub(super) async fn answer(self: Rc<Self>, mut request: Request) -> Result<Response<Bytes>, Infallible> {
+        let arrived = self.runtime.clock.now();
+        let connection = request.conn_data::<Rc<Connection>>().cloned();
+        if let Some(connection) = &connection {
+            connection.busy.set(connection.busy.get() + 1);
+            let runners = request.path() == "/v1/job-events";
+            connection.carried.set(if runners { Carried::CallBacks } else { Carried::Requests });
+        }
+        let reply = match (request.path(), request.method()) {
+            ("/api", &Method::POST) => self.job(arrived, &mut request).await,
+            ("/v1/job-events", &Method::POST) => self.call_back(&mut request).await,
+            ("/up", &Method::GET) => Reply::new(StatusCode::OK, ""),
+            ("/api" | "/v1/job-events", _) => Reply::not_allowed("POST"),
+            ("/up", _) => Reply::not_allowed("GET"),
+            _ => Reply::new(StatusCode::NOT_FOUND, "no such path"),
+        };
+        if let Some(connection) = &connection {
+            connection.busy.set(connection.busy.get() - 1);
+            connection.touched.set(Instant::now());
+            connection.scan.set(Scan::default());
+        }
+        let mut response = Response::build(reply.status);
+        if let Some((name, value)) = reply.header {
+            response.insert_header((name, value));
+        }
+        // Near the limit connections are not kept, so that those who wait for one get their turn. Silent
+        // ones don't count: they are closed for those who wait, and must not cost clients theirs.
+        let used = |(c, _): &&(Rc<Connection>, AbortHandle)| c.carried.get() != Carried::Nothing;
+        let crowded =
+            self.connections.borrow().values().filter(used).count() * 10 >= self.runtime.limits.clients * 9;
+        let to_client = request.path() != "/v1/job-events";
+        if reply.close || crowded || to_client && self.runtime.stopping() {
+            response.force_close();
+        }
+        Ok(response.message_body(reply.body).unwrap_or_else(|_| {
+            let plain = Response::with_body(StatusCode::INTERNAL_SERVER_ERROR, Bytes::new());
+            log::error!("an answer could not be worded");
+            plain
+        }))
+    }
+
+    /// A client's request, from its head to its final answer.
+    async fn job(&self, arrived: sr::Time, request: &mut Request) -> Reply {
+        let head = match Head::read(&self.runtime, request) {
+            Ok(head) => head,
+            Err(what) => {
+                log::debug!("a request is turned away: {what}");
+                self.turned_away(request);
+                return Reply::bad(what);
+            }
+        };
+        let body = match self.read_body(request).await {
+            Ok(body) => body,
+            Err(reply) => {
+                self.turned_away(request);
+                return reply;
+            }
+        };
+        let content_type = text(request.headers(), &header::CONTENT_TYPE).ok().flatten().map(str::to_owned);
+        let target = request.uri().path_and_query().map_or("/api", |target| target.as_str());
+        let job = Job {
+            target: target.to_owned(),
+            body,
+            key: head.key,
+            content_type,
+            class: head.class_name,
+            tenant: head.tenant_name,
+            queue: None,
+            original: None,
+        };
+        let key = self.runtime.key_of(head.class, &job);
+        let (ticket, answer) = self.runtime.ticket(head.class);
+        // Dropped with this future when the connection closes before the answer.
+        let _here = Here::new(&self.runtime, ticket);
+        self.runtime.feed(Input::Arrived(Arrival {
+            ticket,
+            id: head.id.into(),
+            class: head.class,
+            tenant: head.tenant,
+            deadline: arrived + head.patience,
+            slots: head.slots,
+            memory: head.memory,
+            estimate: head.estimate,
+            retry: head.retry,
+            key,
+            job: Rc::new(job),
+        }));
+        match answer.await {
+            Ok(Answer::Served(result)) => Reply { body: result, ..Reply::new(StatusCode::OK, "") },
+            Ok(Answer::Refused(hold_off)) => {
+                let mut reply = Reply::new(StatusCode::SERVICE_UNAVAILABLE, "refused: no runner has room");
+                if hold_off.0 > 0 {
+                    reply.header = Some((header::RETRY_AFTER, format!("{:.3}", hold_off.secs())));
+                }
+                reply
+            }
+            Ok(Answer::Failed(why)) => Reply::new(StatusCode::BAD_GATEWAY, why),
+            Ok(Answer::Unfit(why)) => Reply::new(StatusCode::UNPROCESSABLE_ENTITY, why),
+            Err(_) => Reply::new(StatusCode::INTERNAL_SERVER_ERROR, "no answer was made"),
+        }
+    }
+
+    /// Counts a job turned away before it was handed in as errored for the class it names, known or not:
+    /// operators count a class that clients send before this process knows it. Off the path of the jobs
+    /// that are handed in, which the runtime counts.
+    fn turned_away(&self, request: &Request) {
+        let named = text(request.headers(), &HeaderName::from_static("x-priority-class")).ok().flatten();
+        if let Some(class) = named.and_then(|name| self.runtime.figures.class_if_room(name)) {
+            class.count(Counted::Errored);
+        }
+    }
+
+    async fn read_body(&self, request: &mut Request) -> Result<Bytes, Reply> {
+        let limits = &self.runtime.limits;
+        let told = text(request.headers(), &header::CONTENT_LENGTH).ok().flatten();
+        if told.and_then(|length| length.parse::<usize>().ok()).is_some_and(|length| length > limits.body) {
+            return Err(Reply::too_large());
+        }
+        let mut payload = request.take_payload();
+        let reading = async {
+            let mut body = BytesMut::new();
+            while let Some(chunk) = payload.next().await {
+                let chunk = chunk.map_err(|e| Reply::bad(format!("body: {e}")))?;
+                if body.len() + chunk.len() > limits.body {
+                    return Err(Reply::too_large());
+                }
+                body.extend_from_slice(&chunk);
+            }
+            Ok(body.freeze())
+        };
+        let late = Reply { close: true, ..Reply::new(StatusCode::REQUEST_TIMEOUT, "body: too slow") };
+        tokio::time::timeout(limits.body_wait, reading).await.unwrap_or(Err(late))
+    }
+
+    /// A runner tells what became of a job. Whatever it is about, it hears at once that it arrived.
+    async fn call_back(&self, request: &mut Request) -> Reply {
+        let body = match self.read_body(request).await {
+            Ok(body) => body,
+            Err(reply) => return reply,
+        };
+        let told: CallBack = match serde_json::from_slice(&body) {
+            Ok(told) => told,
+            Err(e) => {
+                log::warn!("call-back that can't be read: {e}");
+                return Reply::bad(format!("body: {e}"));
+            }
+        };
+        log::trace!("call-back {}", String::from_utf8_lossy(&body));
+        let known = self.runtime.knows(&told.id);
+        let peers = self.peers.borrow().clone().filter(|_| !known);
+        if let Some(peers) = peers {
+            // On one line, as the door takes it: in JSON a line's end is white space only, never in a text.
+            let line = String::from_utf8_lossy(&body).replace(['\r', '\n'], " ");
+            return match peers.hand_on(&line).await {
+                Handed::Taken | Handed::Nowhere => Reply::new(StatusCode::OK, ""),
+                Handed::Unreached => {
+                    log::warn!(id = told.id.as_str(); "call-back not handed on: the other process is silent");
+                    Reply::new(StatusCode::SERVICE_UNAVAILABLE, "not handed on: tell it again")
+                }
+            };
+        }
+        callbacks::take(&self.runtime, told);
+        Reply::new(StatusCode::OK, "")
+    }
+}
