--- a/node/src/runtime.rs
+++ b/node/src/runtime.rs
@@ -1,115 +1,29 @@
 //! Runs the core: hands it inputs one at a time, carries out the effects it asks for, wakes it when a
-//! timer is due and leads the program from its start to its end. It owns the clock and the table of
-//! who waits for which answer. It must never change the dispatcher's state except through
-//! [`Core::step`], nor speak a wire: that is for what stands in `net`.
+//! timer is due and leads the program from its start to its end. It must never change the dispatcher's
+//! state except through [`Core::step`], nor speak a wire: that is for what stands in `net`.
 
-use crate::core::{Answer, Arrival, AttemptId, Core, Effect, Input, Key, Tally, Ticket};
+mod clock;
+mod job;
+mod links;
+mod telling;
+mod waiting;
+
+pub use clock::{Clock, unix_now};
+pub use job::Job;
+pub use links::{Link, Roster};
+pub use waiting::Here;
+
+use crate::core::{Answer, Arrival, AttemptId, Core, Effect, Input, Ticket};
 use crate::figures::{ClassFigures, Counted, Figures};
 use crate::limits::Limits;
-use bytes::Bytes;
 use sablerun as sr;
-use sablerun_keys as keys;
-use sha2::{Digest, Sha256};
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, VecDeque};
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
-use tokio::sync::{Notify, oneshot};
-
-/// What is passed on of a request, the same for every wire.
-#[derive(Clone, Debug, Default, PartialEq)]
-pub struct Job {
-    /// Path and query, unchanged.
-    pub target: String,
-    pub body: Bytes,
-    /// The key under which runners drop repeats.
-    pub key: Option<String>,
-    pub content_type: Option<String>,
-    pub class: String,
-    pub tenant: Option<String>,
-    /// Where its client named them: the queue it stands in, and the job as the client wrote it.
-    pub queue: Option<String>,
-    pub original: Option<Bytes>,
-}
-
-/// A client that waits for its answer; once dropped without it, the client has gone away.
-pub struct Here {
-    runtime: Rc<Runtime>,
-    ticket: Ticket,
-}
-
-impl Here {
-    pub fn new(runtime: &Rc<Runtime>, ticket: Ticket) -> Here {
-        Here { runtime: runtime.clone(), ticket }
-    }
-}
-
-impl Drop for Here {
-    fn drop(&mut self) {
-        self.runtime.client_gone(self.ticket);
-    }
-}
-
-/// The system's time, since the Unix epoch.
-pub fn unix_now() -> sr::Time {
-    sr::Time(SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_nanos() as u64)
-}
-
-/// The program's clock: monotonic, and at its start the system's, so that other machines' times can
-/// be read on it.
-pub struct Clock {
-    started: Instant,
-    unix: u64,
-}
-
-impl Clock {
-    pub fn new() -> Clock {
-        Clock { started: Instant::now(), unix: unix_now().0 }
-    }
-
-    pub fn now(&self) -> sr::Time {
-        sr::Time(self.unix + self.started.elapsed().as_nanos() as u64)
-    }
-
-    /// A moment of the clock as the runtime's timers know it.
-    pub fn instant(&self, at: sr::Time) -> Instant {
-        self.started + Duration::from_nanos(at.0.saturating_sub(self.unix))
-    }
-
-    /// A time in Unix milliseconds; 0 means long ago.
-    pub fn unix_ms(&self, ms: u64) -> Option<sr::Time> {
-        (ms > 0).then(|| sr::Time(ms.saturating_mul(1_000_000)))
-    }
-}
-
-/// A way to runners: carries attempts to those that it knows.
-pub trait Link {
-    /// Whether this link leads to a runner.
-    fn leads_to(&self, runner: &str) -> bool;
-    /// Begins an attempt; tells the runtime how it ends.
-    fn start(&self, attempt: AttemptId, id: Rc<str>, runner: &str, job: Rc<Job>, deadline: sr::Time);
-    /// Stops waiting for an attempt and lets its runner know. Attempts that are not its own are ignored.
-    fn give_up(&self, attempt: AttemptId);
-    /// Lets go of an attempt that has ended.
-    fn over(&self, attempt: AttemptId);
-    /// Asks a runner for its load.
-    fn probe(&self, runner: &str);
-    /// Closes idle connections to a runner.
-    fn release(&self, runner: &str);
-}
-
-/// The way to discovery.
-pub trait Roster {
-    /// Asks this address for changes from now on.
-    fn subscribe(&self, at: SocketAddr);
-    /// Asks this address for the whole list once.
-    fn fetch(&self, at: SocketAddr);
-}
-
-/// Who waits for a ticket's answer, and the counters of its class.
-type Waiting = (oneshot::Sender<Answer>, Arc<ClassFigures>);
+use std::time::{Duration, Instant};
+use tokio::sync::Notify;
+use waiting::Waiting;
 
 /// The core and what surrounds it.
 pub struct Runtime {
@@ -164,77 +78,6 @@
         *self.roster.borrow_mut() = Some(roster);
     }
 
-    /// Reads from the core's name tables.
-    pub fn with_tables<T>(&self, read: impl FnOnce(&sablerun_settings::Tables) -> T) -> T {
-        read(self.core.borrow().tables())
-    }
-
-    /// Reads the number and the terms of a class that clients may name now.
-    pub fn with_class<T>(&self, name: &str, read: impl FnOnce(u32, &sr::Class) -> T) -> Option<T> {
-        let core = self.core.borrow();
-        core.class(self.clock.now(), name).map(|(number, class)| read(number, class))
-    }
-
-    /// The tenant that a client names, if it names a known one.
-    ///
-    /// # Errors
-    ///
-    /// It must name one and does not.
-    pub fn tenant(&self, name: Option<&str>) -> Result<Option<u32>, ()> {
-        let core = self.core.borrow();
-        let tenant = name.and_then(|name| core.tables().tenants.get(name));
-        if core.with_tenants() && tenant.is_none() { Err(()) } else { Ok(tenant) }
-    }
-
-    /// Whether a request of this id is here.
-    pub fn knows(&self, id: &str) -> bool {
-        self.core.borrow().knows(id)
-    }
-
-    /// Reads from the keys that the core keeps, if it keeps any.
-    pub fn with_keys<T>(&self, read: impl FnOnce(&Core<Rc<Job>>, &keys::Store) -> T) -> Option<T> {
-        let core = self.core.borrow();
-        core.keys().map(|store| read(&core, store))
-    }
-
-    /// A job's key, where keys are kept for its class: what it stands for is the job's path, query and
-    /// body. Costs nothing where none are kept.
-    pub fn key_of(&self, class: u32, job: &Job) -> Option<Key> {
-        let text = job.key.as_deref().filter(|_| self.core.borrow().wants_key(class))?;
-        let digest = Sha256::new().chain_update(&job.target).chain_update([0]).chain_update(&job.body);
-        let digest: [u8; 32] = digest.finalize().into();
-        let print = keys::Fingerprint(std::array::from_fn(|n| digest[n]));
-        Some(Key { text: text.into(), print })
-    }
-
-    /// A ticket for a new request of a class, and where its answer will arrive.
-    pub fn ticket(&self, class: u32) -> (Ticket, oneshot::Receiver<Answer>) {
-        self.tickets.set(self.tickets.get() + 1);
-        let ticket = Ticket(self.tickets.get());
-        let (send, receive) = oneshot::channel();
-        let figures = self.class_figures(class);
-        self.waiting.borrow_mut().insert(ticket, (send, figures));
-        (ticket, receive)
-    }
-
-    fn class_figures(&self, class: u32) -> Arc<ClassFigures> {
-        let mut classes = self.classes.borrow_mut();
-        while classes.len() <= class as usize {
-            let name = self.with_tables(|tables| tables.classes.name(classes.len() as u32).to_owned());
-            classes.push(self.figures.class(&name));
-        }
-        classes[class as usize].clone()
-    }
-
-    /// Shows the figures of every class from now on, those without a job yet too.
-    pub fn show_classes(&self) {
-        let all = self.with_tables(|tables| tables.classes.all().len());
-        if let Some(last) = all.checked_sub(1) {
-            self.class_figures(last as u32);
-        }
-    }
-
-    /// An operator's call: takes a runner out by hand, or puts it back.
     ///
     /// # Errors
     ///
@@ -249,14 +92,6 @@
         }
     }
 
-    /// The client of a ticket has left; nothing happens if it was answered.
-    pub fn client_gone(&self, ticket: Ticket) {
-        if self.waiting.borrow_mut().remove(&ticket).is_some() {
-            log::debug!("a client has left, ticket {}", ticket.0);
-            self.feed(Input::ClientGone(ticket));
-        }
-    }
-
     /// Hands the core an input. What happens while its effects are carried out waits its turn.
     pub fn feed(&self, input: Input<Rc<Job>>) {
         self.inputs.borrow_mut().push_back(input);
@@ -300,14 +135,6 @@
         }
     }
 
-    /// Brings the figures on runners up to date: what the module avoids changes with time alone too.
-    pub fn count_runners(&self) {
-        let (listed, avoided) = self.core.borrow().census();
-        Figures::set(&self.figures.cluster_size, listed);
-        Figures::set(&self.figures.cluster_unhealthy, avoided);
-        self.counted.set(Instant::now());
-    }
-
     fn carry_out(&self, effect: Effect<Rc<Job>>) {
         match effect {
             Effect::Answer(ticket, answer) => {
@@ -405,44 +232,4 @@
             tokio::time::sleep(Duration::from_millis(5)).await;
         }
     }
-
-    /// The runners taken out by hand, by name.
-    pub fn banned(&self) -> std::collections::BTreeSet<String> {
-        self.core.borrow().banned().map(str::to_owned).collect()
-    }
-
-    /// What has been counted so far.
-    pub fn tally(&self) -> Tally {
-        self.core.borrow().tally()
-    }
-
-    /// A line for the log on what has been done so far.
-    pub fn summary(&self) -> String {
-        let core = self.core.borrow();
-        let t = core.tally();
-        let keys = core.keys().map_or(String::new(), |store| {
-            let c = store.counts();
-            format!(
-                " unfit {} keys {} joined {} handed_back {} again {} spent {} unknown {} keys_full {}",
-                t.unfit,
-                store.len(),
-                c.joined,
-                c.handed_back,
-                c.again,
-                c.spent + c.not_kept,
-                c.unknown,
-                c.full + c.member_full
-            )
-        });
-        format!(
-            "taken {} served {} refused {} failed {} left {} attempts {} open {}{keys}",
-            t.taken,
-            t.served,
-            t.refused,
-            t.failed,
-            t.left,
-            t.attempts,
-            core.open()
-        )
-    }
 }
--- /dev/null
+++ b/node/src/runtime/links.rs
@@ -0,0 +1,31 @@
+//! What the runtime asks of the wires: ways to runners and to discovery. It must never name one of them.
+
+use crate::core::AttemptId;
+use crate::runtime::Job;
+use sablerun as sr;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+/// A way to runners: carries attempts to those that it knows.
+pub trait Link {
+    /// Whether this link leads to a runner.
+    fn leads_to(&self, runner: &str) -> bool;
+    /// Begins an attempt; tells the runtime how it ends.
+    fn start(&self, attempt: AttemptId, id: Rc<str>, runner: &str, job: Rc<Job>, deadline: sr::Time);
+    /// Stops waiting for an attempt and lets its runner know. Attempts that are not its own are ignored.
+    fn give_up(&self, attempt: AttemptId);
+    /// Lets go of an attempt that has ended.
+    fn over(&self, attempt: AttemptId);
+    /// Asks a runner for its load.
+    fn probe(&self, runner: &str);
+    /// Closes idle connections to a runner.
+    fn release(&self, runner: &str);
+}
+
+/// The way to discovery.
+pub trait Roster {
+    /// Asks this address for changes from now on.
+    fn subscribe(&self, at: SocketAddr);
+    /// Asks this address for the whole list once.
+    fn fetch(&self, at: SocketAddr);
+}
--- /dev/null
+++ b/node/src/runtime/telling.rs
@@ -0,0 +1,105 @@
+//! What the runtime tells of itself: names, keys, figures and the log's summary. It must never change
+//! anything but figures.
+
+use super::Runtime;
+use crate::core::{Core, Key, Tally};
+use crate::figures::Figures;
+use crate::runtime::Job;
+use sablerun as sr;
+use sablerun_keys as keys;
+use sha2::{Digest, Sha256};
+use std::rc::Rc;
+use std::time::Instant;
+
+impl Runtime {
+    /// Reads from the core's name tables.
+    pub fn with_tables<T>(&self, read: impl FnOnce(&sablerun_settings::Tables) -> T) -> T {
+        read(self.core.borrow().tables())
+    }
+
+    /// Reads the number and the terms of a class that clients may name now.
+    pub fn with_class<T>(&self, name: &str, read: impl FnOnce(u32, &sr::Class) -> T) -> Option<T> {
+        let core = self.core.borrow();
+        core.class(self.clock.now(), name).map(|(number, class)| read(number, class))
+    }
+
+    /// The tenant that a client names, if it names a known one.
+    ///
+    /// # Errors
+    ///
+    /// It must name one and does not.
+    pub fn tenant(&self, name: Option<&str>) -> Result<Option<u32>, ()> {
+        let core = self.core.borrow();
+        let tenant = name.and_then(|name| core.tables().tenants.get(name));
+        if core.with_tenants() && tenant.is_none() { Err(()) } else { Ok(tenant) }
+    }
+
+    /// Whether a request of this id is here.
+    pub fn knows(&self, id: &str) -> bool {
+        self.core.borrow().knows(id)
+    }
+
+    /// Reads from the keys that the core keeps, if it keeps any.
+    pub fn with_keys<T>(&self, read: impl FnOnce(&Core<Rc<Job>>, &keys::Store) -> T) -> Option<T> {
+        let core = self.core.borrow();
+        core.keys().map(|store| read(&core, store))
+    }
+
+    /// A job's key, where keys are kept for its class: what it stands for is the job's path, query and
+    /// body. Costs nothing where none are kept.
+    pub fn key_of(&self, class: u32, job: &Job) -> Option<Key> {
+        let text = job.key.as_deref().filter(|_| self.core.borrow().wants_key(class))?;
+        let digest = Sha256::new().chain_update(&job.target).chain_update([0]).chain_update(&job.body);
+        let digest: [u8; 32] = digest.finalize().into();
+        let print = keys::Fingerprint(std::array::from_fn(|n| digest[n]));
+        Some(Key { text: text.into(), print })
+    }
+
+    /// Brings the figures on runners up to date: what the module avoids changes with time alone too.
+    pub fn count_runners(&self) {
+        let (listed, avoided) = self.core.borrow().census();
+        Figures::set(&self.figures.cluster_size, listed);
+        Figures::set(&self.figures.cluster_unhealthy, avoided);
+        self.counted.set(Instant::now());
+    }
+
+    /// The runners taken out by hand, by name.
+    pub fn banned(&self) -> std::collections::BTreeSet<String> {
+        self.core.borrow().banned().map(str::to_owned).collect()
+    }
+
+    /// What has been counted so far.
+    pub fn tally(&self) -> Tally {
+        self.core.borrow().tally()
+    }
+
+    /// A line for the log on what has been done so far.
+    pub fn summary(&self) -> String {
+        let core = self.core.borrow();
+        let t = core.tally();
+        let keys = core.keys().map_or(String::new(), |store| {
+            let c = store.counts();
+            format!(
+                " unfit {} keys {} joined {} handed_back {} again {} spent {} unknown {} keys_full {}",
+                t.unfit,
+                store.len(),
+                c.joined,
+                c.handed_back,
+                c.again,
+                c.spent + c.not_kept,
+                c.unknown,
+                c.full + c.member_full
+            )
+        });
+        format!(
+            "taken {} served {} refused {} failed {} left {} attempts {} open {}{keys}",
+            t.taken,
+            t.served,
+            t.refused,
+            t.failed,
+            t.left,
+            t.attempts,
+            core.open()
+        )
+    }
+}
