One life for a client's connection and one way to the end: no close over what was sent

Change: the stream hands actix-http one message at a time and keeps at most a head's worth behind it, so the end of the client is always read. Where a connection stands (fresh, head, given, body, busy, flushing, resting, shut) is one machine without I/O; who is to leave is asked, looks at the socket itself first, and ends by FIN and reading on. The way to the end is a machine too: as usual, letting go, a last look at the queue of the listener, closing, over. Signals are taken before anything is read; SIGHUP goes before SIGTERM where both wait.

--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -94,6 +94,7 @@
                 let rules = kept.map_or_else(Vec::new, |kept| kept.rules(&settings.classes));
                 let until = runtime.clock.now() + sr::Span(runtime.limits.vanished.as_nanos() as u64);
                 let (classes, attempts) = (tables.classes.all().join(","), settings.max_attempts);
+                runtime.promise(&settings);
                 let retune = crate::core::Retune { settings, tables, rules, until };
                 runtime.feed(Input::Retune(Box::new(retune)));
                 runtime.show_classes();
--- a/node/src/limits.rs
+++ b/node/src/limits.rs
@@ -63,10 +63,8 @@
     pub watch_silence: Duration,
     /// Longest line of a watch, in bytes.
     pub watch_line: usize,
-    /// Time for which the program goes on as usual after SIGTERM.
-    pub spell: Duration,
-    /// Time after SIGTERM at which whatever is unanswered is answered, and the program ends.
-    pub stop: Duration,
+    /// Time between two looks at what is left to do at the end.
+    pub look: Duration,
     /// What the store of clients' keys may hold, where keys are kept.
     pub keys: Option<keys::Bounds>,
     /// Time for which a class that new settings no longer name is taken still.
@@ -85,6 +83,18 @@
         Limits { keys: bounds, ..self }
     }
 
+    /// For how long the program goes on as usual after SIGTERM, and when whatever is unanswered is answered
+    /// and it ends, where the settings in force have such a longest deadline.
+    pub fn end(&self, longest: Duration) -> (Duration, Duration) {
+        // SIGKILL comes 0.7 s after the longest deadline, of which 3 s count at most. What it finds
+        // unanswered is lost, so the end keeps a distance from it that a busy machine needs.
+        let stop = longest.min(Duration::from_secs(3)) + Duration::from_millis(400);
+        // Clients use the connections they have while those stay open; the rest of the time is for the
+        // last jobs to be done. New connections come for up to 0.4 s.
+        let spell = (stop * 3 / 5).max(Duration::from_millis(450)).min(stop);
+        (spell, stop)
+    }
+
     /// Limits for a machine with so many descriptors and so much memory, with the second front or without it.
     pub fn new(sockets: usize, memory_mb: usize, env: &Env, two_fronts: bool) -> Limits {
         // Standard streams, the runtime's own, the listeners, the watch and a call to discovery.
@@ -96,10 +106,6 @@
         // A quarter of the memory may be bodies.
         let fits = memory_mb.max(16) * 1024 * 1024 / 4 / body;
         let told = env.limits.max_open.map_or(usize::MAX, |most| usize::try_from(most).unwrap_or(usize::MAX));
-        // SIGKILL comes 0.7 s after the longest deadline, of which 3 s count at most. What it finds
-        // unanswered is lost, so the end keeps a distance from it that a busy machine needs.
-        let longest = env.services.iter().map(|class| class.deadline).max().unwrap_or(0);
-        let stop = Duration::from_nanos(longest).min(Duration::from_secs(3)) + Duration::from_millis(400);
         Limits {
             body,
             open: fits.min(told).max(1),
@@ -132,10 +138,7 @@
             // An empty line comes every 2 s; what a silent watch misses counts as told 6 s after.
             watch_silence: Duration::from_millis(2500),
             watch_line: 4 * 1024 * 1024,
-            // Clients use the connections they have while those stay open; the rest of the time is for
-            // the last jobs to be done.
-            spell: stop * 3 / 5,
-            stop,
+            look: Duration::from_millis(5),
             keys: None,
             // A ban holds from the yes, 1 s after the call at the latest, at either process.
             bans: Duration::from_millis(250),
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -17,17 +17,18 @@
 
 use crate::by_hand::{carry_out, follow_bans};
 use crate::cli::{Cli, Command};
-use crate::config::{Config, read_config, reload};
+use crate::config::{read_config, reload};
 use crate::core::{Core, Input};
 use crate::limits::Limits;
 use crate::net::faktory::Faktory;
+use crate::net::platform::ending::Ending;
 use crate::net::{discovery, platform, runners};
 use crate::operator::Operator;
 use crate::runtime::{Clock, Runtime};
 use clap::Parser;
 use sablerun as sr;
 use sablerun_keys as keys;
-use serde_json::Value;
+use std::path::PathBuf;
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::Duration;
@@ -38,12 +39,7 @@
     let done = match cli.command.unwrap_or(Command::Run(cli.run)) {
         Command::Run(args) => {
             logging::start(args.log);
-            let operator = args.config.as_deref().map_or(Ok(Operator::default()), Operator::read);
-            let told = operator.and_then(|operator| Ok((read_config()?, operator)));
-            let done = told.and_then(|((config, text), operator)| {
-                actix_rt::System::new().block_on(run(config, text, operator))
-            });
-            return match done {
+            return match actix_rt::System::new().block_on(run(args.config)) {
                 Ok(()) => ExitCode::SUCCESS,
                 Err(message) => {
                     log::error!("{message}");
@@ -77,7 +73,13 @@
     cli::check(operator.as_ref().map(|(path, operator)| (*path, operator)), args.json)
 }
 
-async fn run(config: Config, mut text: Value, operator: Operator) -> Result<(), String> {
+async fn run(operator: Option<PathBuf>) -> Result<(), String> {
+    // First of all: from here on a SIGHUP no longer ends the program.
+    let mut hang_up = signal(SignalKind::hangup()).map_err(|e| format!("SIGHUP: {e}"))?;
+    let mut terminate = signal(SignalKind::terminate()).map_err(|e| format!("SIGTERM: {e}"))?;
+    let mut interrupt = signal(SignalKind::interrupt()).map_err(|e| format!("SIGINT: {e}"))?;
+    let operator = operator.as_deref().map_or(Ok(Operator::default()), Operator::read)?;
+    let (config, mut text) = read_config()?;
     let (settings, tables) = config.settle()?;
     let agent = settings.discovery == sr::Discovery::Agent;
     let seed = u64::from_str_radix(&config.seed, 16).map_err(|e| format!("NODE_CONFIG: seed: {e}"))?;
@@ -94,12 +96,14 @@
     let store = limits.keys.zip(rules).map(|(bounds, rules)| keys::Store::new(bounds, rules));
     let place = snapshot_file.as_ref().map(snapshots::Place::take).transpose()?;
     let store = store.map(|store| snapshots::remember(store, &doubts, &tables, place.as_ref(), clock.now()));
+    let promised = settings.clone();
     let mut core = Core::new(settings, tables, config.discovery, seed, clock.now(), limits.open)
         .map_err(|e| format!("NODE_CONFIG: settings: {e}"))?;
     if let Some(store) = store {
         core.keep_keys(store);
     }
     let runtime = Runtime::new(core, clock, limits);
+    runtime.promise(&promised);
     runtime.show_classes();
     if let (Some(place), Some(now)) = (&place, snapshots::of(&runtime, false)) {
         // Before the first request: else a kill would leave an orderly end's snapshot to be trusted.
@@ -125,10 +129,6 @@
         Ok((front, platform::listen(at, backlog).map_err(|e| format!("listen: {at}: {e}"))?))
     });
     let second = second.transpose().map_err(|e: String| format!("--config: faktory: {e}"))?;
-    let mut terminate = signal(SignalKind::terminate()).map_err(|e| format!("SIGTERM: {e}"))?;
-    // From here on a SIGHUP no longer ends the program.
-    let mut hang_up = signal(SignalKind::hangup()).map_err(|e| format!("SIGHUP: {e}"))?;
-    let mut interrupt = signal(SignalKind::interrupt()).map_err(|e| format!("SIGINT: {e}"))?;
     // Socket activation: where the platform holds the clients' socket, a process that replaces another
     // takes it over, and no connection finds nobody listening in between.
     let inherited = std::env::var("NODE_LISTEN_FD").ok();
@@ -189,15 +189,12 @@
         front
     });
     let held = runtime.clone();
-    // Also while the program ends: what it has taken still goes to runners that the list allows.
-    actix_rt::spawn(async move {
-        while hang_up.recv().await.is_some() {
-            reload(&held, &mut text, kept.as_ref());
-            if let Some(front) = &second {
-                front.reload();
-            }
+    let mut read_anew = move || {
+        reload(&held, &mut text, kept.as_ref());
+        if let Some(front) = &second {
+            front.reload();
         }
-    });
+    };
     let writer = place.map(|place| Rc::new(snapshots::Writer::start(place)));
     let writing = writer.clone().map(|writer| {
         let held = runtime.clone();
@@ -206,33 +203,29 @@
     let mut summary = tokio::time::interval(runtime.limits.summary);
     loop {
         tokio::select! {
+            // In this order: the end goes by the settings that were in force when it was told.
+            biased;
+            Some(()) = hang_up.recv() => read_anew(),
             _ = terminate.recv() => break,
             _ = interrupt.recv() => break,
             _ = summary.tick() => log::info!("{}", runtime.summary()),
         }
     }
+    // Also while the program ends: what it has taken still goes to runners that the list allows.
+    actix_rt::spawn(async move {
+        while hang_up.recv().await.is_some() {
+            read_anew();
+        }
+    });
     // Clients and call-backs find everything as usual for a spell. After it clients are sent elsewhere,
     // but runners' call-backs still come in: the listeners stay open to the end.
     runtime.figures.ready.store(false, std::sync::atomic::Ordering::Relaxed);
-    log::info!("told to end: {}", runtime.summary());
-    let (spell, stop) = (runtime.limits.spell, runtime.limits.stop);
+    let (spell, stop) = runtime.end();
+    log::info!("told to end within {:.3} s: {}", stop.as_secs_f64(), runtime.summary());
     runtime.feed(Input::StopAt(runtime.clock.now() + sr::Span(stop.as_nanos() as u64)));
-    // A shared socket has a successor behind it: new connections are its, at once, and clients leave
-    // idle ones for it. Else the front needs a spell to notice, in which clients find this one as usual.
-    let spell = if inherited.is_some() {
-        front.stop_accepting();
-        Duration::ZERO
-    } else {
-        spell
-    };
-    tokio::time::sleep(spell).await;
-    log::info!("lets clients go: {}", runtime.summary());
-    runtime.stop();
-    front.close_idle();
-    runtime.answered(stop - spell + runtime.limits.flush).await;
-    front.leave_register();
-    // Whatever was answered last is still on its way out.
-    front.drained(runtime.limits.flush).await;
+    let shared = inherited.is_some();
+    let spell = if shared { Duration::ZERO } else { spell };
+    front.end(Ending::new(spell, stop, runtime.limits.flush), shared).await;
     if let Some(writing) = writing {
         writing.abort();
         let _ = writing.await;
--- a/node/src/net/platform.rs
+++ b/node/src/net/platform.rs
@@ -1,26 +1,30 @@
 //! The platform's front: clients' requests, runners' call-backs and the ready check, all on the one
 //! address that the dispatcher is given. It owns the listener and the table of connections accepted
-//! there, and which of them are closed to make room. It must never read or word a message itself.
+//! there. It must never read or word a message itself.
 
+mod closing;
 mod connection;
+pub mod ending;
 mod head;
+pub mod life;
 mod reply;
 mod requests;
 mod stream;
 
 use crate::net::peers::Peers;
-use crate::net::platform::connection::{Carried, Connection};
-use crate::net::platform::stream::Guarded;
+use crate::net::platform::connection::Connection;
+use crate::net::platform::stream::{Guarded, farewell};
 use crate::runtime::Runtime;
 use actix_http::{HttpService, KeepAlive};
 use actix_service::{Service, ServiceFactory, fn_service};
+use socket2::SockRef;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
-use tokio::net::{TcpListener, TcpSocket};
-use tokio::sync::Notify;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::sync::{Notify, oneshot};
 use tokio::task::AbortHandle;
 
 /// Binds the dispatcher's address.
@@ -40,6 +44,8 @@
     closed: Notify,
     /// Told when no more connections are to be accepted.
     no_more: Notify,
+    /// Who wants to know first how many wait to be accepted.
+    look: RefCell<Option<oneshot::Sender<usize>>>,
     /// Where call-backs about another process's jobs go, while a process replaces another.
     peers: RefCell<Option<Rc<Peers>>>,
 }
@@ -52,6 +58,7 @@
             next: Cell::new(0),
             closed: Notify::new(),
             no_more: Notify::new(),
+            look: RefCell::default(),
             peers: RefCell::default(),
         })
     }
@@ -61,8 +68,9 @@
         let limits = &self.runtime.limits;
         let front = self.clone();
         let service = HttpService::build()
-            .keep_alive(KeepAlive::Timeout(limits.keep_alive))
-            // Only a first head's; the stream looks after every head.
+            // The stream looks after idle connections and after every head: these here would drop the
+            // socket over a request that is there and not read, and see to a first head only.
+            .keep_alive(KeepAlive::Os)
             .client_request_timeout(Duration::ZERO)
             // A client that closes its connection while it waits has gone away.
             .h1_allow_half_closed(false)
@@ -73,46 +81,59 @@
             .new_service(())
             .await;
         let Ok(service) = service else { return };
-        loop {
-            // At the limit the rest waits in the listener's queue, unless somebody can be closed.
-            while self.connections.borrow().len() >= limits.clients {
-                self.close_one();
-                let _ = tokio::time::timeout(limits.accept_pause, self.closed.notified()).await;
-            }
-            let accepted = tokio::select! {
-                accepted = listener.accept() => accepted,
-                // The listener goes with this: where it is shared, the others take what comes.
-                () = self.no_more.notified() => return,
-            };
-            let (stream, peer) = match accepted {
-                Ok(accepted) => accepted,
-                Err(e) => {
-                    log::warn!("accept: {e}");
-                    tokio::time::sleep(limits.accept_pause).await;
-                    continue;
-                }
-            };
-            let connection = Rc::new(Connection {
-                busy: Cell::new(0),
-                carried: Cell::new(Carried::Nothing),
-                touched: Cell::new(Instant::now()),
-                scan: Cell::default(),
-                closing: Cell::new(false),
-            });
+        let take = |stream: TcpStream, peer: SocketAddr| {
+            let connection = Rc::new(Connection::new());
             let _ = stream.set_nodelay(true);
             let stream = Guarded::new(stream, connection.clone(), limits);
             let handling = service.call((stream, Some(peer)));
             let number = self.next.get();
             self.next.set(number + 1);
-            let front = self.clone();
+            let (front, its) = (self.clone(), connection.clone());
             let task = actix_rt::spawn(async move {
+                let linger = front.runtime.limits.linger;
                 let ended = Ended { front, number };
                 if let Err(e) = handling.await {
                     log::debug!("connection from {peer}: {e}");
                 }
+                let left = its.left.borrow_mut().take();
+                if let Some(stream) = left {
+                    farewell(stream, linger).await;
+                }
                 drop(ended);
             });
             self.connections.borrow_mut().insert(number, (connection, task.abort_handle()));
+        };
+        loop {
+            self.make_room();
+            // At the limit the rest waits in the listener's queue, unless somebody can be closed.
+            while self.connections.borrow().len() >= limits.clients {
+                let _ = tokio::time::timeout(limits.accept_pause, self.closed.notified()).await;
+                self.make_room();
+            }
+            let accepted = tokio::select! {
+                accepted = listener.accept() => accepted,
+                // The listener goes with this: where it is shared, the others take what comes.
+                () = self.no_more.notified() => {
+                    let Some(tell) = self.look.borrow_mut().take() else { return };
+                    let mut queued = 0;
+                    while let Some((stream, peer)) = accept_now(&listener) {
+                        take(stream, peer);
+                        queued += 1;
+                    }
+                    let _ = tell.send(queued);
+                    if queued == 0 {
+                        return;
+                    }
+                    continue;
+                }
+            };
+            match accepted {
+                Ok((stream, peer)) => take(stream, peer),
+                Err(e) => {
+                    log::warn!("accept: {e}");
+                    tokio::time::sleep(limits.accept_pause).await;
+                }
+            }
         }
     }
 
@@ -133,35 +154,14 @@
             peers.leave();
         }
     }
+}
 
-    /// Closes the connection that can best be spared, if there is one.
-    fn close_one(&self) {
-        let connections = self.connections.borrow();
-        let spare = connections.values().filter_map(|(c, task)| Some((c.rank(&self.runtime.limits)?, task)));
-        if let Some((_, task)) = spare.min_by_key(|(rank, _)| *rank) {
-            task.abort();
-        }
-    }
-
-    /// Closes clients' connections on which no request is under way. Guards against closing one that
-    /// carries call-backs, which the jobs under way still need, or one whose first request is on its way.
-    pub fn close_idle(&self) {
-        for (connection, task) in self.connections.borrow().values() {
-            if connection.busy.get() == 0 && connection.carried.get() == Carried::Requests {
-                task.abort();
-            }
-        }
-    }
-
-    /// Waits until every connection is closed, `most` at the longest.
-    pub async fn drained(&self, most: Duration) {
-        let end = tokio::time::Instant::now() + most;
-        while !self.connections.borrow().is_empty() {
-            if tokio::time::timeout_at(end, self.closed.notified()).await.is_err() {
-                break;
-            }
-        }
-    }
+/// Somebody who waits to be accepted, without asking the runtime, whose word may be old.
+fn accept_now(listener: &TcpListener) -> Option<(TcpStream, SocketAddr)> {
+    let (socket, peer) = SockRef::from(listener).accept().ok()?;
+    socket.set_nonblocking(true).ok()?;
+    let stream = TcpStream::from_std(socket.into()).ok()?;
+    Some((stream, peer.as_socket()?))
 }
 
 /// Takes a connection off the table when its task ends, however it ends.
--- a/node/src/net/platform/connection.rs
+++ b/node/src/net/platform/connection.rs
@@ -1,10 +1,12 @@
-//! What the front knows of an accepted connection, apart from its socket: what it has carried and whether
-//! it can be spared. It must never read, write or close anything.
+//! What the front knows of an accepted connection: where it stands, what it has carried and whether it can
+//! be spared. It must never read, write or close anything.
 
 use crate::limits::Limits;
-use crate::net::platform::stream::Scan;
-use std::cell::Cell;
-use std::time::{Duration, Instant};
+use crate::net::platform::life::{Leave, Life, Stage};
+use std::cell::{Cell, RefCell};
+use std::task::Waker;
+use std::time::Instant;
+use tokio::net::TcpStream;
 
 /// What a connection has carried.
 #[derive(Clone, Copy, PartialEq)]
@@ -16,30 +18,67 @@
 
 /// One accepted connection.
 pub(super) struct Connection {
-    /// Requests read from it that have no whole answer yet: one at the most.
-    pub busy: Cell<u32>,
+    pub life: Cell<Life>,
     /// What came over it so far.
     pub carried: Cell<Carried>,
-    /// When it was opened, last read from or last answered.
+    /// When it was opened, last read from or last written to.
     pub touched: Cell<Instant>,
-    /// The head that it is in, or waits for.
-    pub scan: Cell<Scan>,
-    /// Nothing more is answered on it.
-    pub closing: Cell<bool>,
+    /// Wakes whoever reads from it.
+    pub reader: RefCell<Option<Waker>>,
+    /// Its socket, once nothing more is answered on it.
+    pub left: RefCell<Option<TcpStream>>,
 }
 
 impl Connection {
+    pub fn new() -> Connection {
+        Connection {
+            life: Cell::default(),
+            carried: Cell::new(Carried::Nothing),
+            touched: Cell::new(Instant::now()),
+            reader: RefCell::default(),
+            left: RefCell::default(),
+        }
+    }
+
+    /// Changes where it stands.
+    pub fn change<T>(&self, change: impl FnOnce(&mut Life) -> T) -> T {
+        let mut life = self.life.get();
+        let result = change(&mut life);
+        self.life.set(life);
+        result
+    }
+
+    /// Asks it to leave; its reader sees to it.
+    pub fn ask(&self, how: Leave) {
+        self.change(|life| life.ask(how));
+        if let Some(reader) = &*self.reader.borrow() {
+            reader.wake_by_ref();
+        }
+    }
+
+    /// Its answers have been written: what is left of it is its end.
+    pub fn ends(&self) -> bool {
+        self.life.get().stage() == Stage::Shut
+    }
+
+    /// It is on its way out, or asked to go at once.
+    pub fn leaves(&self) -> bool {
+        self.ends() || self.life.get().leave() == Some(Leave::Now)
+    }
+
     /// Who goes first, and among those the one that has rested the longest, where there is no room.
     /// Guards against bad clients that keep others out by silence; could do harm where a usual client's
     /// first request takes longer than `silent`, so nobody is closed sooner, and a runner's last.
     pub fn rank(&self, limits: &Limits) -> Option<(u8, Instant)> {
         let (touched, rested) = (self.touched.get(), self.touched.get().elapsed());
-        let (rank, least) = match self.carried.get() {
-            _ if self.busy.get() > 0 => return None,
-            _ if self.closing.get() => (0, Duration::ZERO),
-            Carried::Nothing => (1, limits.silent),
-            Carried::Requests => (2, limits.sweep),
-            Carried::CallBacks => (3, limits.sweep),
+        let (rank, least) = match (self.life.get().stage(), self.carried.get()) {
+            _ if self.leaves() => return None,
+            (Stage::Given | Stage::Body(_) | Stage::Busy, _) => return None,
+            // Its client takes nothing of the answer.
+            (Stage::Flushing, _) => (0, limits.head),
+            (_, Carried::Nothing) => (1, limits.silent),
+            (_, Carried::Requests) => (2, limits.sweep),
+            (_, Carried::CallBacks) => (3, limits.sweep),
         };
         (rested > least).then_some((rank, touched))
     }
--- a/node/src/net/platform/requests.rs
+++ b/node/src/net/platform/requests.rs
@@ -10,7 +10,6 @@
 use crate::net::platform::connection::{Carried, Connection};
 use crate::net::platform::head::{Head, text};
 use crate::net::platform::reply::Reply;
-use crate::net::platform::stream::Scan;
 use crate::runtime::{Here, Job};
 use actix_http::header::{self, HeaderName};
 use actix_http::{HttpMessage, Method, Request, Response, StatusCode};
@@ -19,19 +18,19 @@
 use sablerun as sr;
 use std::convert::Infallible;
 use std::rc::Rc;
-use std::time::Instant;
-use tokio::task::AbortHandle;
 
 impl Front {
     pub(super) async fn answer(self: Rc<Self>, mut request: Request) -> Result<Response<Bytes>, Infallible> {
         let arrived = self.runtime.clock.now();
         let connection = request.conn_data::<Rc<Connection>>().cloned();
-        if let Some(connection) = &connection {
-            connection.busy.set(connection.busy.get() + 1);
-            let runners = request.path() == "/v1/job-events";
+        let runners = request.path() == "/v1/job-events";
+        let ours = connection.as_ref().is_some_and(|connection| {
             connection.carried.set(if runners { Carried::CallBacks } else { Carried::Requests });
-        }
+            connection.change(|life| life.begun(length(&request)))
+        });
         let reply = match (request.path(), request.method()) {
+            // Behind its connection's last answer, where nobody reads another: not taken.
+            _ if !ours => Reply { close: true, ..Reply::new(StatusCode::SERVICE_UNAVAILABLE, "") },
             ("/api", &Method::POST) => self.job(arrived, &mut request).await,
             ("/v1/job-events", &Method::POST) => self.call_back(&mut request).await,
             ("/up", &Method::GET) => Reply::new(StatusCode::OK, ""),
@@ -39,22 +38,12 @@
             ("/up", _) => Reply::not_allowed("GET"),
             _ => Reply::new(StatusCode::NOT_FOUND, "no such path"),
         };
-        if let Some(connection) = &connection {
-            connection.busy.set(connection.busy.get() - 1);
-            connection.touched.set(Instant::now());
-            connection.scan.set(Scan::default());
-        }
         let mut response = Response::build(reply.status);
         if let Some((name, value)) = reply.header {
             response.insert_header((name, value));
         }
-        // Near the limit connections are not kept, so that those who wait for one get their turn. Silent
-        // ones don't count: they are closed for those who wait, and must not cost clients theirs.
-        let used = |(c, _): &&(Rc<Connection>, AbortHandle)| c.carried.get() != Carried::Nothing;
-        let crowded =
-            self.connections.borrow().values().filter(used).count() * 10 >= self.runtime.limits.clients * 9;
-        let to_client = request.path() != "/v1/job-events";
-        if reply.close || crowded || to_client && self.runtime.stopping() {
+        let close = reply.close || self.crowded() || !runners && self.runtime.stopping();
+        if connection.is_none_or(|connection| connection.change(|life| life.answered(close))) {
             response.force_close();
         }
         Ok(response.message_body(reply.body).unwrap_or_else(|_| {
@@ -188,3 +177,14 @@
         Reply::new(StatusCode::OK, "")
     }
 }
+
+/// How long a request's body is; `None` where its own framing ends it.
+fn length(request: &Request) -> Option<usize> {
+    let headers = request.headers();
+    let framed = headers.contains_key(header::TRANSFER_ENCODING) || headers.contains_key(header::UPGRADE);
+    if framed || request.method() == Method::CONNECT {
+        return None;
+    }
+    let told = text(headers, &header::CONTENT_LENGTH).ok().flatten();
+    Some(told.and_then(|told| told.parse().ok()).unwrap_or(0))
+}
--- a/node/src/net/platform/stream.rs
+++ b/node/src/net/platform/stream.rs
@@ -1,148 +1,246 @@
 //! An accepted stream between the socket and actix-http. It owns how much a client may write and how
-//! fast, and how a connection ends. It must never answer a whole request, nor keep an answer back.
+//! fast, hands on one message at a time and sees a client's end over whatever was written before it. It
+//! must never answer a whole request, nor keep an answer back.
 
 use crate::limits::Limits;
-use crate::net::platform::connection::{Carried, Connection};
+use crate::net::platform::connection::Connection;
+use crate::net::platform::life::{Leave, Stage, TooLong};
 use actix_codec::{AsyncRead, AsyncWrite, ReadBuf};
+use bytes::BytesMut;
+use socket2::SockRef;
 use std::future::Future;
-use std::io;
+use std::io::{self, Read};
 use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
 use std::time::{Duration, Instant};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::time::Sleep;
 
-/// How far into a head the bytes read so far go.
-#[derive(Clone, Copy, Default)]
-pub(super) struct Scan {
-    bytes: usize,
-    /// Bytes of the line that is not ended yet.
-    line: usize,
-    /// A line that is not empty has been read: an empty one ends the head.
-    begun: bool,
-    done: bool,
-}
+/// Most that is read at a time.
+const CHUNK: usize = 8 * 1024;
 
-impl Scan {
-    fn take(&mut self, read: &[u8]) {
-        for &byte in read {
-            if self.done {
-                return;
-            }
-            self.bytes += 1;
-            match byte {
-                b'\n' => {
-                    self.done = self.begun && self.line == 0;
-                    self.line = 0;
-                }
-                b'\r' => {}
-                _ => (self.begun, self.line) = (true, self.line + 1),
-            }
-        }
-    }
+/// What is waited for.
+#[derive(Clone, Copy, PartialEq)]
+enum Wait {
+    /// The end of a head: from the connection or the head's first byte on.
+    Head,
+    /// The next request, or the client's taking of its answer.
+    Rest,
 }
 
 /// An accepted stream that keeps to the limits, whatever is sent on it. Guards against what actix-http
-/// leaves open: a first head may grow to 128 KiB and a later one take for ever, and closing with bytes
-/// unread resets the connection, which may destroy the answer on its way.
+/// leaves open: it reads on behind a request, parses that at once and then reads no more, so that the
+/// client's end goes unseen; a first head may grow to 128 KiB and a later one take for ever; and its ends
+/// drop the socket over unread bytes, which resets the connection and may destroy the answer on its way.
 pub(super) struct Guarded {
-    stream: TcpStream,
+    /// Until it is left to [`farewell`].
+    stream: Option<TcpStream>,
     pub connection: Rc<Connection>,
+    /// What has been read and may not be parsed yet.
+    held: BytesMut,
+    /// The peer has ended its side.
+    ended: bool,
     head_bytes: usize,
     head: Duration,
-    linger: Duration,
-    /// While a head is awaited: until when; while it closes: how long it is read on.
-    timer: Option<Pin<Box<Sleep>>>,
-    shut: bool,
+    keep_alive: Duration,
+    timer: Option<(Wait, Pin<Box<Sleep>>)>,
 }
 
 impl Guarded {
     pub fn new(stream: TcpStream, connection: Rc<Connection>, limits: &Limits) -> Guarded {
-        let Limits { head_bytes, head, linger, .. } = *limits;
-        Guarded { stream, connection, head_bytes, head, linger, timer: None, shut: false }
+        let Limits { head_bytes, head, keep_alive, .. } = *limits;
+        let (stream, held) = (Some(stream), BytesMut::new());
+        Guarded { stream, connection, held, ended: false, head_bytes, head, keep_alive, timer: None }
+    }
+
+    fn stream(&mut self) -> io::Result<&mut TcpStream> {
+        self.stream.as_mut().ok_or_else(|| io::ErrorKind::NotConnected.into())
     }
 
     /// Answers in place of actix-http, which waits for the end of a head, and ends the reading.
     fn cut(&mut self, status: &str) -> Poll<io::Result<()>> {
         let answer = format!("HTTP/1.1 {status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n");
         // A peer whose window is full of answers it does not read can do without this one.
-        let _ = self.stream.try_write(answer.as_bytes());
-        self.connection.closing.set(true);
+        let _ = self.stream()?.try_write(answer.as_bytes());
+        self.connection.change(|life| life.shut());
+        Poll::Ready(Ok(()))
+    }
+
+    /// Keeps what was read; behind a request no more than a head's worth, so that nobody fills the memory.
+    fn keep(&mut self, read: &[u8]) {
+        self.connection.touched.set(Instant::now());
+        let behind = matches!(self.connection.life.get().stage(), Stage::Busy | Stage::Flushing);
+        if behind && self.held.len() + read.len() > self.head_bytes {
+            self.connection.change(|life| life.spilt());
+            self.held.clear();
+        } else {
+            self.held.extend_from_slice(read);
+        }
+    }
+
+    /// Reads once; whether there was anything, the peer's end included.
+    fn poll_fill(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        let mut scratch = [0; CHUNK];
+        let mut read = ReadBuf::new(&mut scratch);
+        ready!(Pin::new(self.stream()?).poll_read(cx, &mut read))?;
+        match read.filled() {
+            [] => self.ended = true,
+            read => self.keep(read),
+        }
         Poll::Ready(Ok(()))
     }
 
-    /// Whether the time since the timer was last set is over.
-    fn over(&mut self, after: Duration, cx: &mut Context<'_>) -> bool {
-        let timer = self.timer.get_or_insert_with(|| Box::pin(tokio::time::sleep(after)));
-        timer.as_mut().poll(cx).is_ready()
+    /// Reads once without asking the runtime, whose word on what is there may be old.
+    fn fill_now(&mut self) -> io::Result<bool> {
+        let mut scratch = [0; CHUNK];
+        match (&*SockRef::from(&*self.stream()?)).read(&mut scratch) {
+            Ok(0) => self.ended = true,
+            Ok(count) => self.keep(&scratch[..count]),
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock => return Ok(false),
+            Err(e) => return Err(e),
+        }
+        Ok(true)
+    }
+
+    /// Nothing for now: whoever asks the connection to leave wakes its reader.
+    fn later(&self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        let mut reader = self.connection.reader.borrow_mut();
+        if !reader.as_ref().is_some_and(|reader| reader.will_wake(cx.waker())) {
+            *reader = Some(cx.waker().clone());
+        }
+        Poll::Pending
+    }
+
+    /// Whether what is waited for has taken too long.
+    fn late(&mut self, wait: Option<Wait>, cx: &mut Context<'_>) -> bool {
+        let Some(wait) = wait else {
+            self.timer = None;
+            return false;
+        };
+        if self.timer.as_ref().is_none_or(|(what, _)| *what != wait) {
+            let time = if wait == Wait::Head { self.head } else { self.keep_alive };
+            self.timer = Some((wait, Box::pin(tokio::time::sleep(time))));
+        }
+        self.timer.as_mut().is_some_and(|(_, timer)| timer.as_mut().poll(cx).is_ready())
     }
 }
 
 impl AsyncRead for Guarded {
     fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
         let this = self.get_mut();
-        if this.connection.closing.get() {
-            return Poll::Ready(Ok(()));
-        }
-        let before = buf.filled().len();
-        let polled = Pin::new(&mut this.stream).poll_read(cx, buf);
-        let answering = this.connection.busy.get() > 0;
-        let mut scan = this.connection.scan.get();
-        if buf.filled().len() > before {
-            this.connection.touched.set(Instant::now());
-            if !answering {
-                scan.take(&buf.filled()[before..]);
-                this.connection.scan.set(scan);
-                if !scan.done && scan.bytes > this.head_bytes {
-                    buf.set_filled(before);
-                    return this.cut("431 Request Header Fields Too Large");
+        let connection = this.connection.clone();
+        loop {
+            let ready = this.held.len().min(buf.remaining());
+            let passed = connection.change(|life| life.pass(&this.held[..ready], this.head_bytes));
+            let Ok(passed) = passed.map_err(|TooLong| ()) else {
+                return this.cut("431 Request Header Fields Too Large");
+            };
+            let stage = connection.life.get().stage();
+            if passed > 0 {
+                buf.put_slice(&this.held.split_to(passed));
+                if stage == Stage::Given {
+                    // Once more after the head is parsed, and it is known how long the body is.
+                    cx.waker().wake_by_ref();
                 }
+                return Poll::Ready(Ok(()));
             }
+            if this.ended || stage == Stage::Shut {
+                return Poll::Ready(Ok(()));
+            }
+            // Behind a head nothing is read until it is known what it is.
+            if stage != Stage::Given && this.poll_fill(cx)?.is_ready() {
+                continue;
+            }
+            let wait = match stage {
+                Stage::Fresh | Stage::Head | Stage::Given => Some(Wait::Head),
+                Stage::Resting => Some(Wait::Rest),
+                // The writing looks after its own time.
+                Stage::Flushing => return this.later(cx),
+                Stage::Body(_) | Stage::Busy | Stage::Shut => None,
+            };
+            let late = this.late(wait, cx);
+            if late && stage == Stage::Resting {
+                connection.change(|life| life.ask(Leave::Soon));
+            }
+            let life = connection.life.get();
+            let pressed = life.leave() == Some(Leave::Now);
+            match stage {
+                Stage::Flushing if late || life.stuck() => {
+                    return Poll::Ready(Err(io::ErrorKind::TimedOut.into()));
+                }
+                Stage::Fresh | Stage::Resting if life.may_end() => {
+                    if this.fill_now()? {
+                        continue;
+                    }
+                    connection.change(|life| life.shut());
+                    return Poll::Ready(Ok(()));
+                }
+                Stage::Fresh | Stage::Given if late => return this.cut("408 Request Timeout"),
+                Stage::Head if late || pressed => {
+                    if this.fill_now()? {
+                        continue;
+                    }
+                    return this.cut("408 Request Timeout");
+                }
+                _ => {}
+            }
+            return this.later(cx);
         }
-        // Between requests a connection may rest; a head that is begun, or the first, may not.
-        let fresh = this.connection.carried.get() == Carried::Nothing;
-        if answering || scan.done || !scan.begun && !fresh {
-            this.timer = None;
-        } else if this.over(this.head, cx) && polled.is_pending() {
-            return this.cut("408 Request Timeout");
-        }
-        polled
     }
 }
 
 impl AsyncWrite for Guarded {
-    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, buf)
-    }
-
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
-    }
-
-    /// Ends the writing, and reads on for a while what the peer still sends.
-    fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+    fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
         let this = self.get_mut();
-        if !std::mem::replace(&mut this.shut, true) {
-            this.connection.closing.set(true);
-            this.timer = None;
-        }
-        std::task::ready!(Pin::new(&mut this.stream).poll_shutdown(cx))?;
-        let mut scratch = [0; 16 * 1024];
-        // So many reads at a time: others want their turn.
-        for _ in 0..16 {
-            let mut unread = ReadBuf::new(&mut scratch);
-            match Pin::new(&mut this.stream).poll_read(cx, &mut unread) {
-                Poll::Ready(Ok(())) if !unread.filled().is_empty() => {}
-                Poll::Ready(_) => return Poll::Ready(Ok(())),
-                Poll::Pending if this.over(this.linger, cx) => return Poll::Ready(Ok(())),
-                Poll::Pending => return Poll::Pending,
+        match Pin::new(this.stream()?).poll_write(cx, buf) {
+            // Its client takes nothing: not for ever, and not while others want its place.
+            Poll::Pending if this.connection.life.get().stuck() || this.late(Some(Wait::Rest), cx) => {
+                Poll::Ready(Err(io::ErrorKind::TimedOut.into()))
+            }
+            Poll::Ready(Ok(written)) => {
+                this.connection.touched.set(Instant::now());
+                this.timer = None;
+                Poll::Ready(Ok(written))
             }
+            polled => polled,
         }
-        if this.over(this.linger, cx) {
-            return Poll::Ready(Ok(()));
+    }
+
+    /// actix-http flushes once everything that it has to write is written: the answer is out then.
+    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        let this = self.get_mut();
+        ready!(Pin::new(this.stream()?).poll_flush(cx))?;
+        if this.connection.life.get().stage() == Stage::Flushing {
+            this.connection.change(|life| life.flushed());
+            // What was held back has its turn, as has whoever asked this connection to leave.
+            cx.waker().wake_by_ref();
         }
-        cx.waker().wake_by_ref();
-        Poll::Pending
+        Poll::Ready(Ok(()))
+    }
+
+    /// Whatever was to be written has been; the rest is [`farewell`]'s.
+    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
     }
 }
+
+impl Drop for Guarded {
+    fn drop(&mut self) {
+        self.connection.change(|life| life.shut());
+        *self.connection.left.borrow_mut() = self.stream.take();
+    }
+}
+
+/// Ends the writing, and reads on for a while what the peer still sends: a socket closed over unread bytes
+/// resets the connection. What is read here is never sent on.
+pub(super) async fn farewell(mut stream: TcpStream, linger: Duration) {
+    let ending = async {
+        if stream.shutdown().await.is_ok() {
+            let mut scratch = vec![0; CHUNK];
+            while stream.read(&mut scratch).await.is_ok_and(|count| count > 0) {}
+        }
+    };
+    let _ = tokio::time::timeout(linger, ending).await;
+}
--- a/node/src/runtime.rs
+++ b/node/src/runtime.rs
@@ -46,6 +46,8 @@
     counted: Cell<Instant>,
     retimed: Notify,
     stopping: Cell<bool>,
+    /// The longest deadline of the settings in force.
+    longest: Cell<Duration>,
 }
 
 impl Runtime {
@@ -66,6 +68,7 @@
             counted: Cell::new(Instant::now()),
             retimed: Notify::new(),
             stopping: Cell::new(false),
+            longest: Cell::default(),
         })
     }
 
@@ -225,11 +228,20 @@
         self.stopping.set(true);
     }
 
-    /// Waits until nothing taken is unanswered, `most` at the longest.
-    pub async fn answered(&self, most: Duration) {
-        let end = Instant::now() + most;
-        while Instant::now() < end && self.core.borrow().open() > 0 {
-            tokio::time::sleep(Duration::from_millis(5)).await;
-        }
+    /// Requests that have no final answer yet.
+    pub fn open(&self) -> usize {
+        self.core.borrow().open()
+    }
+
+    /// Settings that are in force from now on: how long the program may take to end goes by them.
+    pub fn promise(&self, settings: &sr::Settings) {
+        let longest = settings.classes.iter().map(|class| class.deadline.0).max().unwrap_or(0);
+        self.longest.set(Duration::from_nanos(longest));
+    }
+
+    /// For how long clients find everything as usual after SIGTERM, and when whatever is unanswered is
+    /// answered and the program ends, by the settings in force now.
+    pub fn end(&self) -> (Duration, Duration) {
+        self.limits.end(self.longest.get())
     }
 }
