--- a/node/tests/shutdown.rs
+++ b/node/tests/shutdown.rs
@@ -22,10 +22,12 @@
     format!("{head}\r\nHost: t\r\nContent-Length: {}\r\n\r\n{body}", body.len())
 }
 
-/// The runner s-0 tells the program that a job is done.
-fn done(program: &Program, id: &str, result: &str) {
-    let body = json!({"id": id, "from": "s-0", "state": "done", "result": result}).to_string();
-    assert_eq!(call(program.at, "POST /v1/job-events HTTP/1.1", &body).status(), 200);
+/// A program on a socket that the test holds too: on SIGTERM it lets clients go at once.
+fn on_a_shared_socket(discovery: &Discovery) -> Program {
+    let socket = TcpListener::bind("127.0.0.1:0").unwrap();
+    let mut config = Program::config(discovery.at, settings());
+    config["listen"] = json!(socket.local_addr().unwrap().to_string());
+    Program::spawn(Program::command_on(&config, &socket, None), false)
 }
 
 /// Half a head and half a body on kept connections, that come to their end once clients are let go: each
@@ -33,10 +35,7 @@
 #[test]
 fn what_is_half_read_when_clients_are_let_go_is_answered() {
     let discovery = Discovery::start(Vec::new());
-    let socket = TcpListener::bind("127.0.0.1:0").unwrap();
-    let mut config = Program::config(discovery.at, settings());
-    config["listen"] = json!(socket.local_addr().unwrap().to_string());
-    let mut program = Program::spawn(Program::command_on(&config, &socket, None), false);
+    let mut program = on_a_shared_socket(&discovery);
     let (mut heads, mut bodies) = (kept(&program), kept(&program));
     let rests = kept(&program);
     let up = "GET /up HTTP/1.1\r\nHost: t\r\n\r\n";
@@ -64,14 +63,26 @@
 /// read its answer. It is the client's to send again.
 #[test]
 fn a_request_behind_the_last_answer_is_not_sent_on() {
-    let (_discovery, runner, mut program) = one_runner();
+    let runner = Runner::start("s-0");
+    let discovery = Discovery::start(vec![host("s-0", runner.at, "hall-a", "active")]);
+    let mut program = on_a_shared_socket(&discovery);
     let (first, behind) = (new_id(), new_id());
     let mut stream = open(&program, "short-pick", &first, "5000m", "hang");
     runner.seen.wait("POST hang", 1);
+    // The runner's call-backs come over one connection, which stays.
+    let mut runners = TcpStream::connect(program.at).unwrap();
+    let mut tell = |state: &str| {
+        let body = json!({"id": first, "from": "s-0", "state": state, "result": "at last"}).to_string();
+        let length = body.len();
+        write!(runners, "POST /v1/job-events HTTP/1.1\r\nHost: t\r\nContent-Length: {length}\r\n\r\n{body}")
+            .unwrap();
+        assert_eq!(answer(&runners).unwrap().status(), 200);
+    };
+    tell("started");
     program.signal("TERM");
     program.log.wait("lets clients go", 1);
     stream.write_all(text(&behind, "early").as_bytes()).unwrap();
-    done(&program, &first, "at last");
+    tell("done");
     stream.set_read_timeout(Some(PATIENCE)).unwrap();
     let mut words = String::new();
     stream.read_to_string(&mut words).unwrap();
