--- a/src/balance.rs
+++ b/src/balance.rs
@@ -56,8 +56,8 @@
     /// Requests held, in the order in which they are served: within share first, then by rank.
     held: BTreeSet<(bool, u64, RequestId)>,
     pumping: bool,
-    /// Running time of a mean request times its slots, as requests come, and of how many.
-    mean_work: (f64, f64),
+    /// Running time of a mean request times its slots, as requests come.
+    mean_work: f64,
     /// Running time at the fleet's mean pace for each second of a hint, and the jobs that showed it.
     scale: (f64, f64),
     /// Reported latency of a worker of mean pace.
@@ -114,7 +114,7 @@
             self.tenants[t].0 = quota;
         }
         for class in settings.classes.iter().skip(self.classes.len()) {
-            learn(&mut self.mean_work, class.objective.secs(), 1e-3);
+            self.mean_work += (class.objective.secs() - self.mean_work) / (self.classes.len() + 1) as f64;
             self.classes.push(ClassStat { mean: (class.objective.secs().max(1e-3), 1.0), longest: 0.0 });
         }
         let most = settings.max_attempts as usize;
--- a/src/balance/ledger.rs
+++ b/src/balance/ledger.rs
@@ -44,7 +44,7 @@
     pub(super) fn queue(&self, i: usize) -> f64 {
         let w = &self.workers[i];
         let age = self.at - w.others_at;
-        let fade = (-age / (2.0 * self.mean_work.0).max(0.02)).exp();
+        let fade = (-age / (2.0 * self.mean_work).max(0.02)).exp();
         let group = self.peers(i);
         let usual = group.others * (-(self.at - group.seen_at) / FORGET).exp();
         w.load.own + usual + (w.others - usual) * fade
@@ -75,7 +75,7 @@
         used.into_iter().for_each(|used| self.see_others(i, usual + SIGHT.1 * (used - running - usual)));
         // Errors a second, but for a single one, beside what is in hand: the whole fleet's losses, not own.
         if let (Some(errors), Some(inflight)) = (report.errors_per_s, report.inflight) {
-            let share = (errors - 1.0) / (errors + inflight / self.mean_work.0).max(1.0);
+            let share = (errors - 1.0) / (errors + inflight / self.mean_work).max(1.0);
             self.book(i, 0, share.max(self.missed(i, 0)));
         }
         if let Some(latency) = report.latency.map(Span::secs).filter(|latency| *latency > 0.0) {
--- a/src/balance/line.rs
+++ b/src/balance/line.rs
@@ -35,7 +35,7 @@
             Effect::Unsafe => deadline,
             _ => start_by(2.0),
         };
-        learn(&mut self.mean_work, mean * slots, 1e-3);
+        self.mean_work += 0.03 * (mean * slots - self.mean_work);
         let rank = (work * slots / settings.worth * 1e6) as u64;
         let by_work = self.settings.worth_by_work;
         let dear = |class: &Class, stat: &ClassStat| class.worth / if by_work { 1.0 } else { stat.mean.0 };
@@ -132,15 +132,15 @@
             idle = 0.0;
         }
         // A light job ends a turn that few could save: else most would have their next ones close together.
-        w.turns.0 -= (request.work * request.slots / self.mean_work.0).max(1.0 - w.turns.1);
+        w.turns.0 -= (request.work * request.slots / self.mean_work).max(1.0 - w.turns.1);
         (w.load.own, w.load.waiting, w.returned) = (w.load.own + request.slots, w.load.waiting + 1, false);
         w.trial = w.trial.map(|_| self.at + TRIAL);
         let (worker, sent, heard) = (i, self.now, self.now);
         request.attempts.push(Attempt { worker, sent, heard, idle, ..Attempt::default() });
         self.out.push(Action::Send(id, WorkerId(i as u32)));
         if self.settings.tells_start {
-            self.out
-                .push(Action::Timer(self.now + self.start_due(i, idle, class), attempt_token(id, number)));
+            let due = self.start_due(i, idle, class);
+            self.out.push(Action::Timer(self.now + due, attempt_token(id, number)));
         }
     }
 
--- a/src/balance/price.rs
+++ b/src/balance/price.rs
@@ -26,7 +26,7 @@
         let share = self.settings.fall_multiple * COLD_USE / f64::from(self.settings.dispatchers);
         for i in (0..self.workers.len()).filter(|i| self.warmth(*i) < 1.0).collect::<Vec<_>>() {
             let slots = self.peers(i).slots.min(self.peers(i).free);
-            let rate = slots / self.slowness(i) * self.warmth(i) / self.mean_work.0.max(1e-3) * share;
+            let rate = slots / self.slowness(i) * self.warmth(i) / self.mean_work.max(1e-3) * share;
             let w = &mut self.workers[i];
             let (turns, kept) = (w.turns.0 + rate * (self.at - w.turns_at), rate * self.settings.fall.secs());
             (w.turns, w.turns_at) = ((turns - (turns - kept).floor().max(0.0), kept), self.at);
