An attempt that is not let out is nobody's fault

Refused at its first byte (its client has left, its time or window is over), an attempt ended as could not connect, and the module took its runner for suspect for a second.

--- a/node/src/net/runners.rs
+++ b/node/src/net/runners.rs
@@ -166,7 +166,8 @@
             let wait = Duration::from_nanos((deadline - runtime.clock.now()).0);
             let answered = this.attempt(at, &key.0, &job, wait, &own).await;
             // Written whole unless it never got that far.
-            if !matches!(&answered, Answered::Ended(e) if e.outcome == sr::Outcome::ConnectFailed) {
+            let unsent = [sr::Outcome::ConnectFailed, sr::Outcome::Moot];
+            if !matches!(&answered, Answered::Ended(e) if unsent.contains(&e.outcome)) {
                 crate::figures::Figures::add(&runtime.figures.sends);
             }
             match answered {
--- a/node/src/net/runners/attempt.rs
+++ b/node/src/net/runners/attempt.rs
@@ -55,7 +55,10 @@
             Ok(response) => response,
             Err(e) => {
                 log::debug!("attempt {id} at {at}: {e}");
-                return unanswered(&e);
+                return match leave.refused() {
+                    true => Answered::Ended(Ending::bare(sr::Outcome::Moot)),
+                    false => unanswered(&e),
+                };
             }
         };
         if response.status() != StatusCode::ACCEPTED {
--- a/node/src/net/runners/pool.rs
+++ b/node/src/net/runners/pool.rs
@@ -26,13 +26,14 @@
 /// up late or a give-up that its runner has to confirm first: whether it may go out is asked in that moment.
 pub struct Leave {
     granted: Box<dyn Fn() -> bool>,
+    refused: Cell<bool>,
     /// The connection on which the attempt has begun.
     wire: RefCell<Option<Weak<Wire>>>,
 }
 
 impl Leave {
     pub fn new(granted: impl Fn() -> bool + 'static) -> Rc<Leave> {
-        Rc::new(Leave { granted: Box::new(granted), wire: RefCell::default() })
+        Rc::new(Leave { granted: Box::new(granted), refused: Cell::default(), wire: RefCell::default() })
     }
 
     fn begin(&self, on: &Rc<Wire>) -> bool {
@@ -40,9 +41,15 @@
         if begins {
             self.wire.borrow_mut().get_or_insert_with(|| Rc::downgrade(on));
         }
+        self.refused.set(!begins);
         begins
     }
 
+    /// Whether the attempt came to its connection and was not let on it: its runner is not to blame.
+    pub fn refused(&self) -> bool {
+        self.refused.get()
+    }
+
     /// Takes the connection on which the attempt went out away from the pool: nothing that comes over it will
     /// be taken for the answer to another request. None if the attempt has not begun.
     pub fn take(&self) -> Option<TcpStream> {
--- a/node/tests/attempts.rs
+++ b/node/tests/attempts.rs
@@ -191,4 +191,6 @@
     tell(&program, &id, "s-0", "lost");
     late.called();
     assert_eq!(late.let_in(), "");
+    // The runner is not to blame.
+    program.log.wait("ended: Moot", 1);
 }
--- a/node/tests/common/raw.rs
+++ b/node/tests/common/raw.rs
@@ -90,7 +90,9 @@
     /// by itself after a second.
     pub fn called(&self) {
         let calls = format!(":{:04X} 02 ", self.at.port());
+        let end = std::time::Instant::now() + PATIENCE;
         while !std::fs::read_to_string("/proc/net/tcp").unwrap().contains(&calls) {
+            assert!(std::time::Instant::now() < end, "nobody calls");
             thread::yield_now();
         }
     }
