--- a/src/balance.rs
+++ b/src/balance.rs
@@ -174,8 +174,7 @@
 /// Takes a sight, within `ODD`, into a mean of 200 at the most: the mean, and how many it is of.
 fn learn((mean, seen): &mut (f64, f64), sight: f64, least: f64) {
     *seen = (*seen + 1.0).min(200.0);
-    let sight = if *seen > 1.0 { sight.max(*mean / ODD).min(*mean * ODD) } else { sight };
-    *mean = (*mean + (sight - *mean) / *seen).max(least);
+    *mean = (*mean + (sight.min(*mean * ODD) - *mean) / *seen).max(least);
 }
 
 /// What is left of a count after a time.
--- a/src/balance/list.rs
+++ b/src/balance/list.rs
@@ -66,7 +66,7 @@
     }
 
     /// How many times more dispatchers there are than may do a thing as often as one alone.
-    fn crowd(&self) -> f64 {
+    pub(super) fn crowd(&self) -> f64 {
         (f64::from(self.settings.dispatchers) / CROWD).max(1.0)
     }
 
--- a/tests/overload.rs
+++ b/tests/overload.rs
@@ -39,6 +39,23 @@
     assert!(world.broken.is_empty(), "{:?}", world.broken);
 }
 
+/// What a fleet moves without a stated budget does not grow with its dispatchers: each has a part of the floor.
+#[test]
+fn a_large_fleet_shares_the_floor_of_its_moves() {
+    for (dispatchers, most) in [(8, 6), (318, 1)] {
+        let mut world = World::new(Settings { zone: None, dispatchers, ..settings() }, 4);
+        world.list(ListKind::Saved, (0..30).map(worker).collect());
+        for n in 0..10 {
+            world.arrive(n, 0);
+            world.pass(ms(40));
+        }
+        world.pass(ms(400));
+        let first = world.requests.values().filter(|k| !k.attempts.is_empty()).count();
+        let moves = world.sends().len() - first;
+        assert!((1..=most).contains(&moves), "{moves} moves for 10 arrivals at one of {dispatchers}");
+    }
+}
+
 /// In overload the line is served by worth: requests beyond their tenant's share come last.
 #[test]
 fn requests_beyond_a_share_are_served_last() {
