Calls that fail in the 8 s after a watch has ended are discovery's outage, not the clock's

What it leaves open: an outage shorter than 8 s with failed calls all through the rest of those 8 s lets the list hold until 13.8 s after its loss.

--- a/node/src/limits.rs
+++ b/node/src/limits.rs
@@ -63,6 +63,8 @@
     pub watch_silence: Duration,
     /// Time for which a watch that is late is read on, unless the next one tells something.
     pub watch_late: Duration,
+    /// Time after the end of a watch that stood for which failed calls count as discovery's outage.
+    pub outage: Duration,
     /// Longest line of a watch, in bytes.
     pub watch_line: usize,
     /// Time between two looks at what is left to do at the end.
@@ -141,6 +143,7 @@
             // An empty line comes every 2 s; what a silent watch misses counts as told 6 s after.
             watch_silence: Duration::from_millis(2500),
             watch_late: Duration::from_secs(10),
+            outage: Duration::from_secs(8),
             watch_line: 4 * 1024 * 1024,
             look: Duration::from_millis(5),
             keys: None,
--- a/node/src/net/loss.rs
+++ b/node/src/net/loss.rs
@@ -8,6 +8,7 @@
 use tokio::time::{Instant, timeout_at};
 
 /// What is known of discovery by a loss.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Lost {
     /// Nothing.
     Failed,
@@ -17,6 +18,33 @@
     Away,
 }
 
+/// Whether calls fail because discovery is down: it ends its watches as it goes. What fails in the first while
+/// after the end of a watch that stood is its outage; later it may as well be its many callers. Guards
+/// against refusing work all through an outage, in which nothing can be told; could do harm where it is back
+/// early and then overbooked to the end of that while, and for as long as a list holds after it.
+#[derive(Debug, Default)]
+pub struct Outage {
+    stood: bool,
+    since: Option<Instant>,
+}
+
+impl Outage {
+    /// The watch has told something.
+    pub fn told(&mut self) {
+        *self = Outage { stood: true, since: None };
+    }
+
+    /// What a loss at `now` says, where failures count as an outage for so long.
+    pub fn judge(&mut self, lost: Lost, now: Instant, most: Duration) -> Lost {
+        if std::mem::take(&mut self.stood) {
+            self.since = (lost == Lost::Failed).then_some(now);
+            return lost;
+        }
+        let out = self.since.is_some_and(|since| now - since < most);
+        if out && lost == Lost::Failed { Lost::Away } else { lost }
+    }
+}
+
 /// Why a watch or a call brings nothing more.
 pub struct Loss {
     pub why: String,
