--- a/src/balance/retries.rs
+++ b/src/balance/retries.rs
@@ -17,7 +17,7 @@
 
     /// When another attempt beyond a request's first is within the budget, as of now; never if `None`.
     pub(super) fn turn(&mut self) -> Option<Time> {
-        let shared = Budget { floor: MOVES.floor / self.crowd(), ..MOVES };
+        let shared = Budget { floor: MOVES.floor / self.crowd().sqrt(), ..MOVES };
         let Budget { floor, ratio, window } = self.settings.budget.unwrap_or(shared);
         // The taken leave the window a tick early and the attempts a tick late.
         let (now, tick) = (self.now, self.settings.tick);
