Tests of the connection's life use the library's state machines, not a second copy

They were compiled again by path from before the node was a library. A comment on ListAway says now that failures in an outage come that way too. No behaviour changed.

--- a/node/src/core/input.rs
+++ b/node/src/core/input.rs
@@ -133,7 +133,7 @@
     ListFailed,
     /// Nothing comes over the watch any more, not even a sign of life.
     ListSilent,
-    /// A call for the list was refused a connection: discovery is not there.
+    /// A call for the list failed, by a refused connection or in an outage: discovery is not there.
     ListAway,
     /// New settings hold from now on.
     Retune(Box<Retune>),
--- a/node/src/net/discovery.rs
+++ b/node/src/net/discovery.rs
@@ -170,6 +170,7 @@
             }
         }
     }
+
     async fn whole(&self, at: SocketAddr) -> Result<(), Loss> {
         let runtime = self.runtime.upgrade().ok_or("the program ends")?;
         let (asked, moves) = (self.seq.get(), self.moves.get());
--- a/node/tests/life.rs
+++ b/node/tests/life.rs
@@ -1,15 +1,8 @@
 //! A client's connection and the program's end as state machines, by random steps against plain models.
 
-#[path = "../src/net/platform/ending.rs"]
-#[allow(dead_code, reason = "the tests use its part")]
-mod ending;
-#[path = "../src/net/platform/life.rs"]
-#[allow(dead_code, reason = "the tests use its part")]
-mod life;
-
-use ending::{Ending, Phase, Seen};
-use life::{Leave, Life, Stage, TooLong};
 use proptest::prelude::*;
+use sablerun_node::net::platform::ending::{Ending, Phase, Seen};
+use sablerun_node::net::platform::life::{Leave, Life, Stage, TooLong};
 use std::time::Duration;
 
 const MOST: usize = 200;
