Lab in two crates: the stand-ins as a library, the command above them

Hollow dispatchers need the node's library and the node's tests need the stand-ins: in one crate that is a circle. stand-ins/ now holds HTTP, discovery, halls, scripted peers, the program and its settings; lab/ the command, experiments, figures and charts.

--- a/lab/src/clients.rs
+++ b/lab/src/clients.rs
@@ -2,10 +2,11 @@
 //! open loop), each with the retries its habits allow. They own what they were answered; latency counts
 //! from the intended time.
 
-use crate::experiment::{Class, Experiment};
+use crate::experiment::Experiment;
 use crate::fleet::Dispatcher;
-use crate::http::{Connection, Message};
 use hdrhistogram::Histogram;
+use sablerun_stand_ins::http::{Connection, Message};
+use sablerun_stand_ins::installation::Class;
 use std::sync::atomic::Ordering::SeqCst;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
--- a/lab/src/play.rs
+++ b/lab/src/play.rs
@@ -3,10 +3,11 @@
 //! order of a run and the judging of bounds.
 
 use crate::clients::{Clients, Seen};
-use crate::discovery::Discovery;
 use crate::experiment::{Experiment, Phase};
-use crate::fleet::{Dispatcher, program, settings};
-use crate::hall::Halls;
+use crate::fleet::{Dispatcher, settings};
+use sablerun_stand_ins::discovery::Discovery;
+use sablerun_stand_ins::hall::Halls;
+use sablerun_stand_ins::program::program;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::path::Path;
--- a/node/benches/operate.rs
+++ b/node/benches/operate.rs
@@ -6,8 +6,8 @@
 //! say half a call stay on the door, and one process after another takes over the clients' socket.
 
 use hdrhistogram::Histogram;
-use sablerun_lab::http::read_message;
-use sablerun_lab::scripted::{Discovery, Program, Runner, api, host, new_id, settings};
+use sablerun_stand_ins::http::read_message;
+use sablerun_stand_ins::scripted::{Discovery, Program, Runner, api, host, new_id, settings};
 use serde_json::{Value, json};
 use std::io::{BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -2,9 +2,9 @@
 
 #![allow(unused_imports, dead_code, reason = "each test file uses its part")]
 
-pub use sablerun_lab::discovery::Planned;
-pub use sablerun_lab::http::{Message, read_message};
-pub use sablerun_lab::scripted::*;
+pub use sablerun_stand_ins::discovery::Planned;
+pub use sablerun_stand_ins::http::{Message, read_message};
+pub use sablerun_stand_ins::scripted::*;
 
 use serde_json::json;
 use std::io::{BufReader, Write};
--- a/node/tests/key_snapshots.rs
+++ b/node/tests/key_snapshots.rs
@@ -74,7 +74,7 @@
     let halls = Halls::start();
     // Runners call back to one address, which stays this program's while it is down.
     let mut config = Program::config(halls.discovery.at, settings());
-    config["listen"] = json!(sablerun_lab::fleet::free_port().unwrap().to_string());
+    config["listen"] = json!(sablerun_stand_ins::program::free_port().unwrap().to_string());
     // A key is served for longer than a slow disk may take.
     for service in config["settings"]["services"].as_array_mut().unwrap() {
         service["window"] = json!(600_000_000_000_u64);
--- a/lab/src/hall.rs
+++ b/stand-ins/src/hall.rs
@@ -3,8 +3,8 @@
 //! often, and where. A node does what the platform's pages say of one, and knows nothing of dispatchers
 //! beyond the address that its calls go to.
 
-use crate::experiment::{Class, Faults, Group, Hall};
 use crate::http::{Connection, Message};
+use crate::installation::{Class, Faults, Group, Hall};
 use serde_json::{Value, json};
 use std::collections::HashMap;
 use std::net::SocketAddr;
--- a/lab/src/scripted.rs
+++ b/stand-ins/src/scripted.rs
@@ -6,9 +6,9 @@
 #![allow(missing_docs, reason = "the tests' own words")]
 
 use crate::discovery::Planned;
-use crate::experiment::{Class, Group};
-use crate::fleet::{program, settings_of};
 use crate::http::{self, Connection, Message, exchange};
+use crate::installation::{Class, Group};
+use crate::program::{program, settings_of};
 use command_fds::{CommandFdExt, FdMapping};
 use serde_json::{Value, json};
 use std::io::{self, BufRead, BufReader, Read, Write};
