Scale run: the words between the run and the processes of its roles

Runners, discovery, dispatchers and clients each stand in a process of their own, so that the cost of each can be read. This is the form in which they are told what to do and what they have counted.

--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -8,3 +8,4 @@
 pub mod experiment;
 pub mod fleet;
 pub mod play;
+pub mod scale;
--- /dev/null
+++ b/lab/src/scale.rs
@@ -0,0 +1,5 @@
+//! The scale run: a few real dispatchers beside many hollow ones, hollow runners, discovery and clients, each
+//! role in a process of its own so that its cost can be read. It owns what a run consists of; it must never
+//! measure one role's cost inside another's process.
+
+pub mod words;
