--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -43,6 +43,15 @@
         }
         Ok((settings, tables))
     }
+
+    /// The seed of the module's draws.
+    ///
+    /// # Errors
+    ///
+    /// It is no hexadecimal number.
+    pub fn seed(&self) -> Result<u64, String> {
+        u64::from_str_radix(&self.seed, 16).map_err(|e| format!("NODE_CONFIG: seed: {e}"))
+    }
 }
 
 /// The machine's limits.
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -11,6 +11,7 @@
     reason = "asked of libraries for others; these parts have the program and its tests as callers"
 )]
 
+pub mod assembly;
 pub mod bans;
 pub mod by_hand;
 pub mod cli;
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -7,14 +7,14 @@
 use sablerun_node::by_hand::{carry_out, follow_bans};
 use sablerun_node::cli::{Cli, Command};
 use sablerun_node::config::{read_config, reload};
-use sablerun_node::core::{Core, Input};
+use sablerun_node::core::Input;
 use sablerun_node::limits::Limits;
 use sablerun_node::net::faktory::Faktory;
+use sablerun_node::net::platform;
 use sablerun_node::net::platform::ending::Ending;
-use sablerun_node::net::{discovery, platform, runners};
 use sablerun_node::operator::Operator;
-use sablerun_node::runtime::{Clock, Runtime};
-use sablerun_node::{bans, cli, core, jobs_cli, logging, net, snapshots};
+use sablerun_node::runtime::Clock;
+use sablerun_node::{assembly, bans, cli, jobs_cli, logging, net, snapshots};
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::rc::Rc;
@@ -53,7 +53,7 @@
     let operator = operator.transpose()?;
     let (config, _) = read_config()?;
     let (_, tables) = config.settle()?;
-    u64::from_str_radix(&config.seed, 16).map_err(|e| format!("NODE_CONFIG: seed: {e}"))?;
+    config.seed()?;
     if let Some((path, operator)) = &operator {
         operator.check(&tables, config.limits.memory_mb).map_err(|e| format!("{}: {e}", path.display()))?;
     }
@@ -69,7 +69,7 @@
     let (config, mut text) = read_config()?;
     let (settings, tables) = config.settle()?;
     let agent = settings.discovery == sr::Discovery::Agent;
-    let seed = u64::from_str_radix(&config.seed, 16).map_err(|e| format!("NODE_CONFIG: seed: {e}"))?;
+    config.seed()?;
     let machine = &config.limits;
     operator.check(&tables, machine.memory_mb).map_err(|e| format!("--config: {e}"))?;
     let Operator { faktory: gateway, keys: kept } = operator;
@@ -83,15 +83,7 @@
     let store = limits.keys.zip(rules).map(|(bounds, rules)| keys::Store::new(bounds, rules));
     let place = snapshot_file.as_ref().map(snapshots::Place::take).transpose()?;
     let store = store.map(|store| snapshots::remember(store, &doubts, &tables, place.as_ref(), clock.now()));
-    let promised = settings.clone();
-    let mut core = Core::new(settings, tables, config.discovery, seed, clock.now(), limits.open)
-        .map_err(|e| format!("NODE_CONFIG: settings: {e}"))?;
-    if let Some(store) = store {
-        core.keep_keys(store);
-    }
-    let runtime = Runtime::new(core, clock, limits);
-    runtime.promise(&promised);
-    runtime.show_classes();
+    let runtime = assembly::runtime(&config, (settings, tables), clock, limits, store)?;
     if let (Some(place), Some(now)) = (&place, snapshots::of(&runtime, false)) {
         // Before the first request: else a kill would leave an orderly end's snapshot to be trusted.
         place.write(&now).map_err(|e| format!("keys.snapshot.file: {e}"))?;
@@ -105,10 +97,7 @@
     let door =
         admin.map(|at| net::door::open(at).map_err(|e| format!("admin_addr: {at}: {e}"))).transpose()?;
 
-    let runners = runners::Runners::new(&runtime);
-    runtime.add_link(runners.clone());
-    let roster = discovery::Discovery::new(&runtime, &runners);
-    runtime.set_roster(roster.clone());
+    let roster = assembly::join(&runtime);
     let backlog = runtime.limits.backlog;
     let second = gateway.map(|gateway| {
         let at = gateway.listen;
@@ -127,16 +116,9 @@
     };
 
     // What an agent holds counts as told from the first moment: what was known before is of no use then.
-    if let Some(known) = config.known.filter(|_| !agent) {
-        roster.take(sr::ListKind::Saved, known);
-    } else {
-        runtime.feed(Input::List(crate::core::Source::Discovery, sr::ListKind::Saved, Vec::new()));
-    }
-    let timer = runtime.clone();
-    actix_rt::spawn(async move { timer.keep_time().await });
+    let known = config.known.filter(|_| !agent);
     let bound = listener.local_addr().ok();
-    let front = platform::Front::new(&runtime);
-    actix_rt::spawn(front.clone().serve(listener));
+    let front = assembly::begin(&runtime, &roster, known, listener);
     let listen = bound.unwrap_or(config.listen);
     if let Some(door) = door {
         let at = door.local_addr().map_err(|e| format!("admin_addr: {e}"))?;
--- a/node/src/runtime.rs
+++ b/node/src/runtime.rs
@@ -13,7 +13,7 @@
 pub use links::{Link, Roster};
 pub use waiting::Here;
 
-use crate::core::{Answer, Arrival, AttemptId, Core, Effect, Input, Ticket};
+use crate::core::{Answer, AttemptId, Core, Effect, Input, Ticket};
 use crate::figures::{ClassFigures, Counted, Figures};
 use crate::limits::Limits;
 use sablerun as sr;
@@ -22,6 +22,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
+use telling::tell_of;
 use tokio::sync::Notify;
 use waiting::Waiting;
 
@@ -107,22 +108,7 @@
             let next = self.inputs.borrow_mut().pop_front();
             let Some(input) = next else { break };
             tells_of_runners |= matches!(input, Input::List(..) | Input::Hand { .. });
-            match &input {
-                Input::Arrived(arrival) => {
-                    let Arrival { id, job, ticket, .. } = arrival;
-                    log::debug!("request {id} of class {}, ticket {}", job.class, ticket.0);
-                }
-                Input::Ended(AttemptId { request, number }, ending) => {
-                    log::debug!("attempt {request}.{number} ended: {:?}", ending.outcome);
-                }
-                Input::Told { id, from, ending } => {
-                    let said = ending.report.unwrap_or_default();
-                    let (errors, inflight) = (said.errors_per_s, said.inflight);
-                    log::debug!(errors:?, inflight:?; "runner {from} ended {id}: {:?}", ending.outcome);
-                }
-                Input::Started { id, from } => log::debug!("runner {from} started {id}"),
-                _ => {}
-            }
+            tell_of(&input);
             let effects = self.core.borrow_mut().step(self.clock.now(), input);
             for effect in effects {
                 self.carry_out(effect);
--- a/node/src/runtime/telling.rs
+++ b/node/src/runtime/telling.rs
@@ -1,8 +1,8 @@
-//! What the runtime tells of itself: names, keys, figures and the log's summary. It must never change
+//! What the runtime tells of itself: names, keys, figures, the log's lines on inputs and its summary. It must never change
 //! anything but figures.
 
 use super::Runtime;
-use crate::core::{AttemptId, Core, Key, Tally};
+use crate::core::{Arrival, AttemptId, Core, Input, Key, Tally};
 use crate::figures::Figures;
 use crate::runtime::Job;
 use sablerun as sr;
@@ -11,6 +11,26 @@
 use std::rc::Rc;
 use std::time::Instant;
 
+/// A line for the log on what is about to be handed to the core.
+pub(super) fn tell_of(input: &Input<Rc<Job>>) {
+    match input {
+        Input::Arrived(arrival) => {
+            let Arrival { id, job, ticket, .. } = arrival;
+            log::debug!("request {id} of class {}, ticket {}", job.class, ticket.0);
+        }
+        Input::Ended(AttemptId { request, number }, ending) => {
+            log::debug!("attempt {request}.{number} ended: {:?}", ending.outcome);
+        }
+        Input::Told { id, from, ending } => {
+            let said = ending.report.unwrap_or_default();
+            let (errors, inflight) = (said.errors_per_s, said.inflight);
+            log::debug!(errors:?, inflight:?; "runner {from} ended {id}: {:?}", ending.outcome);
+        }
+        Input::Started { id, from } => log::debug!("runner {from} started {id}"),
+        _ => {}
+    }
+}
+
 impl Runtime {
     /// Reads from the core's name tables.
     pub fn with_tables<T>(&self, read: impl FnOnce(&sablerun_settings::Tables) -> T) -> T {
