--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -6,6 +6,7 @@
 use sablerun_lab::chart::Kept;
 use sablerun_lab::experiment::Experiment;
 use sablerun_lab::play::{Figures, Judged, judge, play};
+use sablerun_lab::scale::{part_clients, part_discovery, part_dispatchers, part_runners};
 use serde_json::json;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -60,6 +61,17 @@
         #[arg(long)]
         json: bool,
     },
+    /// Play a role of the scale run, as the run tells on standard input.
+    #[command(hide = true)]
+    Part { role: Role },
+}
+
+#[derive(Clone, Copy, clap::ValueEnum)]
+enum Role {
+    Runners,
+    Discovery,
+    Dispatchers,
+    Clients,
 }
 
 #[derive(clap::Args)]
@@ -78,6 +90,7 @@
         Command::Check { name, how } => check(&name, &how),
         Command::Chart { folder } => Kept::read(&folder).and_then(|kept| kept.draw(&folder)).map(|()| true),
         Command::Count { folder, json } => count(&folder, json).map(|()| true),
+        Command::Part { role } => part(role).map(|()| true),
     };
     match done {
         Ok(true) => ExitCode::SUCCESS,
@@ -89,6 +102,15 @@
     }
 }
 
+fn part(role: Role) -> Result<(), String> {
+    match role {
+        Role::Runners => part_runners::run(),
+        Role::Discovery => part_discovery::run(),
+        Role::Dispatchers => part_dispatchers::run(),
+        Role::Clients => part_clients::run(),
+    }
+}
+
 fn played(experiment: &Experiment, how: &How) -> Result<Figures, String> {
     let folder = std::env::temp_dir().join(format!("sablerun-lab-{}", std::process::id()));
     let bar = ProgressBar::new(1000);
--- a/lab/src/scale.rs
+++ b/lab/src/scale.rs
@@ -2,4 +2,9 @@
 //! role in a process of its own so that its cost can be read. It owns what a run consists of; it must never
 //! measure one role's cost inside another's process.
 
+pub mod part;
+pub mod part_clients;
+pub mod part_discovery;
+pub mod part_dispatchers;
+pub mod part_runners;
 pub mod words;
--- /dev/null
+++ b/lab/src/scale/part_dispatchers.rs
@@ -0,0 +1,10 @@
+//! The part of the scale run that plays the dispatchers.
+
+/// Plays the part until standard input ends.
+///
+/// # Errors
+///
+/// If it could not begin.
+pub fn run() -> Result<(), String> {
+    Err("not there yet".to_owned())
+}
