--- a/lab/src/scale.rs
+++ b/lab/src/scale.rs
@@ -7,4 +7,5 @@
 pub mod part_discovery;
 pub mod part_dispatchers;
 pub mod part_runners;
+pub mod stream;
 pub mod words;
