Node: somebody in its process can look on at steps and lists; a read configuration is adopted apart

Change: an optional observer of the runtime hears of each step's kind and time and of each list's version, at the place where the log tells it; what SIGHUP does after reading the file is a function of its own (config::adopt); connections of the front and of the link can be counted. Where nobody looks on it is one check of an empty cell for each input.

--- a/node/src/assembly.rs
+++ b/node/src/assembly.rs
@@ -42,12 +42,12 @@
 }
 
 /// Gives a runtime its way to the platform's runners, and to discovery.
-pub fn join(runtime: &Rc<Runtime>) -> Rc<Discovery> {
+pub fn join(runtime: &Rc<Runtime>) -> (Rc<Runners>, Rc<Discovery>) {
     let runners = Runners::new(runtime);
     runtime.add_link(runners.clone());
     let roster = Discovery::new(runtime, &runners);
     runtime.set_roster(roster.clone());
-    roster
+    (runners, roster)
 }
 
 /// Begins: asks for the list, keeps time and serves whoever comes to the listener.
--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -85,36 +85,44 @@
 /// Reads the configuration anew: discovery may have moved, and new settings hold from now on. A file
 /// that makes no sense, or is half written, changes nothing.
 pub fn reload(runtime: &Runtime, text: &mut Value, kept: Option<&operator::Keys>) {
-    let read = read_config().and_then(|(config, text)| {
-        let settled = config.settle()?;
-        Ok((config, text, settled))
-    });
-    match read {
-        Ok((config, new, (settings, tables))) => {
-            Figures::add(&runtime.figures.conf_loaded);
-            log::info!("configuration read anew, discovery at {}", config.discovery);
-            for key in READ_AT_START {
-                if new.pointer(key) != text.pointer(key) {
-                    let key = key.trim_start_matches('/').replace('/', ".");
-                    log::warn!("NODE_CONFIG: {key}: has changed, which takes effect at the next start");
-                }
-            }
-            if new["settings"] != text["settings"] {
-                let rules = kept.map_or_else(Vec::new, |kept| kept.rules(&settings.classes));
-                let until = runtime.clock.now() + sr::Span(runtime.limits.vanished.as_nanos() as u64);
-                let (classes, attempts) = (tables.classes.all().join(","), settings.max_attempts);
-                runtime.promise(&settings);
-                let retune = crate::core::Retune { settings, tables, rules, until };
-                runtime.feed(Input::Retune(Box::new(retune)));
-                runtime.show_classes();
-                log::info!(classes = classes.as_str(), attempts = attempts; "new settings are in use");
-            }
-            *text = new;
-            runtime.feed(Input::RosterAt(config.discovery));
-        }
-        Err(e) => {
-            Figures::add(&runtime.figures.conf_invalid);
-            log::error!("configuration not read anew, the old one stays: {e}");
+    if let Err(e) = read_config().and_then(|read| adopt(runtime, text, read, kept)) {
+        Figures::add(&runtime.figures.conf_invalid);
+        log::error!("configuration not read anew, the old one stays: {e}");
+    }
+}
+
+/// Puts a configuration to use that was read while the program runs; `text` is the one in force as it stands
+/// in its file, and then the new one.
+///
+/// # Errors
+///
+/// Names the setting that makes no sense; nothing has changed then.
+pub fn adopt(
+    runtime: &Runtime,
+    text: &mut Value,
+    (config, new): (Config, Value),
+    kept: Option<&operator::Keys>,
+) -> Result<(), String> {
+    let (settings, tables) = config.settle()?;
+    Figures::add(&runtime.figures.conf_loaded);
+    log::info!("configuration read anew, discovery at {}", config.discovery);
+    for key in READ_AT_START {
+        if new.pointer(key) != text.pointer(key) {
+            let key = key.trim_start_matches('/').replace('/', ".");
+            log::warn!("NODE_CONFIG: {key}: has changed, which takes effect at the next start");
         }
     }
+    if new["settings"] != text["settings"] {
+        let rules = kept.map_or_else(Vec::new, |kept| kept.rules(&settings.classes));
+        let until = runtime.clock.now() + sr::Span(runtime.limits.vanished.as_nanos() as u64);
+        let (classes, attempts) = (tables.classes.all().join(","), settings.max_attempts);
+        runtime.promise(&settings);
+        let retune = crate::core::Retune { settings, tables, rules, until };
+        runtime.feed(Input::Retune(Box::new(retune)));
+        runtime.show_classes();
+        log::info!(classes = classes.as_str(), attempts = attempts; "new settings are in use");
+    }
+    *text = new;
+    runtime.feed(Input::RosterAt(config.discovery));
+    Ok(())
 }
--- a/node/src/core/input.rs
+++ b/node/src/core/input.rs
@@ -153,6 +153,29 @@
     Due,
 }
 
+impl<J> Input<J> {
+    /// What kind it is, for figures by kind.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Input::Arrived(_) => "arrived",
+            Input::ClientGone(_) => "client_gone",
+            Input::Started { .. } => "started",
+            Input::Progress { .. } => "progress",
+            Input::Told { .. } => "told",
+            Input::Ended(..) => "ended",
+            Input::Unusable(_) => "unusable",
+            Input::Probed { .. } => "probed",
+            Input::List(..) => "list",
+            Input::ListFailed | Input::ListSilent | Input::ListAway => "list_lost",
+            Input::Retune(_) => "retune",
+            Input::RosterAt(_) => "roster_at",
+            Input::StopAt(_) => "stop_at",
+            Input::Hand { .. } => "hand",
+            Input::Due => "due",
+        }
+    }
+}
+
 /// What is to be done.
 #[derive(Clone, Debug)]
 pub enum Effect<J> {
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -97,7 +97,7 @@
     let door =
         admin.map(|at| net::door::open(at).map_err(|e| format!("admin_addr: {at}: {e}"))).transpose()?;
 
-    let roster = assembly::join(&runtime);
+    let (_, roster) = assembly::join(&runtime);
     let backlog = runtime.limits.backlog;
     let second = gateway.map(|gateway| {
         let at = gateway.listen;
--- a/node/src/net/discovery.rs
+++ b/node/src/net/discovery.rs
@@ -112,6 +112,9 @@
             });
         }
         log::debug!("list {kind:?} {}: {} entries", hosts.seq, listed.len());
+        if let Some(observer) = runtime.observer() {
+            observer.listed(hosts.seq);
+        }
         runtime.feed(Input::List(Source::Discovery, kind, listed));
     }
 
--- a/node/src/net/platform.rs
+++ b/node/src/net/platform.rs
@@ -63,6 +63,11 @@
         })
     }
 
+    /// Connections accepted and not ended.
+    pub fn connections(&self) -> usize {
+        self.connections.borrow().len()
+    }
+
     /// Accepts connections; never ends.
     pub async fn serve(self: Rc<Self>, listener: TcpListener) {
         let limits = &self.runtime.limits;
--- a/node/src/net/runners.rs
+++ b/node/src/net/runners.rs
@@ -80,6 +80,11 @@
         })
     }
 
+    /// Connections to runners, in use or idle.
+    pub fn connections(&self) -> usize {
+        self.pool.count()
+    }
+
     /// Notes where a runner listens.
     pub fn address(&self, runner: &str, at: SocketAddr) {
         let before = self.addresses.borrow_mut().insert(runner.to_owned(), at);
--- a/node/src/net/runners/pool.rs
+++ b/node/src/net/runners/pool.rs
@@ -169,7 +169,8 @@
         Io(wire)
     }
 
-    fn count(&self) -> usize {
+    /// Connections that are open.
+    pub fn count(&self) -> usize {
         let mut wires = self.wires.borrow_mut();
         wires.retain(|wire| wire.upgrade().is_some_and(|wire| wire.stream.borrow().is_some()));
         wires.len()
--- a/node/src/runtime.rs
+++ b/node/src/runtime.rs
@@ -5,19 +5,21 @@
 mod clock;
 mod job;
 mod links;
+mod observer;
 mod telling;
 mod waiting;
 
 pub use clock::{Clock, unix_now};
 pub use job::Job;
 pub use links::{Link, Roster};
+pub use observer::Observer;
 pub use waiting::Here;
 
 use crate::core::{Answer, AttemptId, Core, Effect, Input, Ticket};
 use crate::figures::{ClassFigures, Counted, Figures};
 use crate::limits::Limits;
 use sablerun as sr;
-use std::cell::{Cell, RefCell};
+use std::cell::{Cell, OnceCell, RefCell};
 use std::collections::{HashMap, VecDeque};
 use std::rc::Rc;
 use std::sync::Arc;
@@ -49,6 +51,8 @@
     stopping: Cell<bool>,
     /// The longest deadline of the settings in force.
     longest: Cell<Duration>,
+    /// Who looks on: nobody, but where the lab plays dispatchers in its own process.
+    observer: OnceCell<Rc<dyn Observer>>,
 }
 
 impl Runtime {
@@ -70,6 +74,7 @@
             retimed: Notify::new(),
             stopping: Cell::new(false),
             longest: Cell::default(),
+            observer: OnceCell::new(),
         })
     }
 
@@ -109,7 +114,7 @@
             let Some(input) = next else { break };
             tells_of_runners |= matches!(input, Input::List(..) | Input::Hand { .. });
             tell_of(&input);
-            let effects = self.core.borrow_mut().step(self.clock.now(), input);
+            let effects = self.step(input);
             for effect in effects {
                 self.carry_out(effect);
             }
