Hollow runners: many of the platform's runners in one process, for the scale run

What runs when, in slots, a queue and a speed that grows after a cold start, is a struct without clock or socket; around it stand connections, call-backs and a link that can be cut. Each runner has a listener for each view, so that bytes and messages are counted by side. http::Connection reads into a kilobyte at a time instead of 64 bytes, and can tell that the other side has ended.

--- /dev/null
+++ b/lab/tests/parts.rs
@@ -0,0 +1,134 @@
+//! Parts of the scale run as processes: what they are told and answer, what they record, and their end.
+
+use sablerun_lab::scale::words::{
+    Begin, Command, Counts, Dispatcher, Layout, Ready, Runner, Start, Way, Zone, view,
+};
+use sablerun_stand_ins::http::{self, Message};
+use serde::de::DeserializeOwned;
+use serde_json::json;
+use std::io::{BufRead, BufReader, Lines, Write};
+use std::net::{SocketAddr, TcpListener};
+use std::path::PathBuf;
+use std::process::{Child, ChildStdin, ChildStdout, Stdio};
+use std::time::Duration;
+
+const PATIENCE: Duration = Duration::from_secs(20);
+
+/// A part's process.
+struct Part {
+    child: Child,
+    to: Option<ChildStdin>,
+    from: Lines<BufReader<ChildStdout>>,
+}
+
+impl Part {
+    fn start(role: &str) -> Part {
+        let mut child = std::process::Command::new(env!("CARGO_BIN_EXE_sablerun-lab"))
+            .args(["part", role])
+            .stdin(Stdio::piped())
+            .stdout(Stdio::piped())
+            .stderr(Stdio::null())
+            .spawn()
+            .unwrap();
+        let (to, from) = (child.stdin.take(), child.stdout.take().unwrap());
+        Part { child, to, from: BufReader::new(from).lines() }
+    }
+
+    fn say<T: DeserializeOwned>(&mut self, line: &str) -> T {
+        writeln!(self.to.as_mut().unwrap(), "{line}").unwrap();
+        serde_json::from_str(&self.from.next().unwrap().unwrap()).unwrap()
+    }
+
+    fn begin(&mut self, begin: &Begin) -> Ready {
+        let ready: Ready = self.say(&serde_json::to_string(begin).unwrap());
+        assert_eq!(ready.error, None);
+        ready
+    }
+
+    fn command(&mut self, command: &Command) -> Counts {
+        let counts: Counts = self.say(&serde_json::to_string(command).unwrap());
+        assert_eq!(counts.error, None);
+        assert!(counts.at_us > 0);
+        counts
+    }
+}
+
+impl Drop for Part {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// Two runners in two regions, and a dispatcher in region 1 that listens there.
+fn layout(name: &str, listen: SocketAddr) -> Layout {
+    let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
+    std::fs::create_dir_all(&folder).unwrap();
+    let zone = |name: &str, region| Zone { name: name.to_owned(), region };
+    let runner = |n: usize| Runner { name: format!("r-{n}"), zone: n, kind: 0, rack: 0, slots: 1 };
+    Layout {
+        folder,
+        zones: vec![zone("a", 0), zone("b", 1)],
+        runners: vec![runner(0), runner(1)],
+        dispatchers: vec![Dispatcher { name: "d-0".into(), zone: 1, hollow: true, listen, share: 1.0 }],
+        settings: json!({"extra": {"tellsStart": false}, "limits": {"probing": true}, "rules": {},
+                         "reporting": {"fields": ["x0"], "how": "piggyback"}}),
+        ..Layout::default()
+    }
+}
+
+fn call(at: SocketAddr, head: &str, body: &str) -> Message {
+    http::exchange(at, head, body).expect("an answer")
+}
+
+#[test]
+fn runners_keep_their_record_and_end_with_their_input() {
+    let ear = TcpListener::bind("127.0.0.1:0").unwrap();
+    let layout = layout("runners", ear.local_addr().unwrap());
+    let starts = layout.folder.join("starts.csv");
+    let mut part = Part::start("runners");
+    let ready = part.begin(&Begin { layout, dial: Vec::new(), discovery: Vec::new() });
+    assert_eq!(ready.dial.iter().map(Vec::len).collect::<Vec<_>>(), [4, 4]);
+
+    let own = view(1, true);
+    let post = |number: u64| {
+        let head = format!("POST /api HTTP/1.1\r\nX-Request-ID: 0000{number:012x}");
+        call(ready.dial[1][own], &head, "{\"work_us\":3600000000}").status
+    };
+    assert_eq!(post(1), 202);
+    let counts = part.command(&Command::Count);
+    assert_eq!(counts.values["hollow.running"], 1.0);
+    assert_eq!(counts.values["real.requests"], 0.0);
+
+    let counts = part.command(&Command::RunnersDown { runners: vec![1] });
+    assert_eq!((counts.values["hollow.running"], counts.values["hollow.lost"]), (0.0, 1.0));
+    part.command(&Command::RunnersUp { runners: vec![1] });
+    assert_eq!(post(2), 202);
+    part.command(&Command::Link { cut: Some(Way::Back) });
+    part.command(&Command::Link { cut: None });
+    // What is not a runner's concern changes nothing.
+    part.command(&Command::Play);
+
+    let bad: Counts = part.say(r#"{"runners_down":{"runners":[2]}}"#);
+    assert!(bad.error.unwrap().contains("no runner 2"));
+    let bad: Counts = part.say(r#"{"runners_gone":{}}"#);
+    assert!(bad.error.unwrap().contains("runners_gone"));
+
+    part.command(&Command::End);
+    let rows: Vec<Start> =
+        csv::Reader::from_path(&starts).unwrap().deserialize().map(Result::unwrap).collect();
+    let rows: Vec<_> = rows.iter().map(|row| (row.id.as_str(), row.runner, row.at_us > 0)).collect();
+    assert_eq!(rows, [("0000000000000001", 1, true), ("0000000000000002", 1, true)]);
+
+    drop(part.to.take());
+    assert!(part.child.wait().unwrap().success());
+    assert!(std::net::TcpStream::connect_timeout(&ready.dial[0][0], PATIENCE).is_err());
+}
+
+#[test]
+fn a_part_that_can_not_begin_says_why() {
+    let mut part = Part::start("runners");
+    let ready: Ready = part.say(r#"{"layout":{"seed":"x"},"dial":[],"discovery":[]}"#);
+    assert!(ready.error.unwrap().contains("layout.seed"));
+    assert!(!part.child.wait().unwrap().success());
+}
--- /dev/null
+++ b/stand-ins/src/hollow/shared.rs
@@ -0,0 +1,43 @@
+//! What all hollow runners of a process have in common. It owns the meaning of a request's id; it must never hold
+//! anything that is one runner's.
+
+use super::link::Link;
+use super::manner::Manner;
+use super::tally::Tally;
+use super::{Began, Dispatcher, View};
+use tokio::time::Instant;
+
+/// What all runners have in common.
+pub struct Shared {
+    pub manner: Manner,
+    pub views: Vec<View>,
+    pub dispatchers: Vec<Dispatcher>,
+    pub link: Link,
+    pub tally: Tally,
+    pub began: Began,
+    /// Times of slots count from here.
+    pub epoch: Instant,
+}
+
+impl Shared {
+    /// The dispatcher that an id names by its first digits, if it has the form of one.
+    pub fn dispatcher(&self, id: &str) -> Option<usize> {
+        let formed = id.len() == 16 && id.bytes().all(|b| b.is_ascii_hexdigit());
+        let number = usize::from_str_radix(id.get(..4).filter(|_| formed)?, 16).ok()?;
+        (number < self.dispatchers.len()).then_some(number)
+    }
+
+    /// From where a dispatcher sees runners.
+    pub fn view(&self, dispatcher: usize) -> View {
+        self.views[self.dispatchers[dispatcher].view]
+    }
+
+    /// The side of a dispatcher.
+    pub fn hollow(&self, dispatcher: usize) -> bool {
+        self.view(dispatcher).hollow
+    }
+
+    pub fn now_us(&self) -> u64 {
+        self.epoch.elapsed().as_micros() as u64
+    }
+}
--- a/stand-ins/src/http.rs
+++ b/stand-ins/src/http.rs
@@ -10,6 +10,8 @@
 
 /// Largest message that is read.
 const MOST: usize = 1 << 20;
+/// Room for the next bytes.
+const ROOM: usize = 1 << 10;
 
 /// A message as it came.
 #[derive(Clone, Debug, Default)]
@@ -24,6 +26,8 @@
     pub headers: HashMap<String, String>,
     /// The body; what is no UTF-8 in it is replaced.
     pub body: String,
+    /// The bytes that it took on the wire.
+    pub bytes: usize,
 }
 
 impl Message {
@@ -70,6 +74,8 @@
                 self.buffer.drain(..used);
                 return Ok(Some(message));
             }
+            // A full buffer would be read into a few bytes at a time.
+            self.buffer.reserve(ROOM);
             if self.stream.read_buf(&mut self.buffer).await? == 0 {
                 return if self.buffer.is_empty() {
                     Ok(None)
@@ -83,6 +89,28 @@
         }
     }
 
+    /// Whether the other side has ended it. What it has written before is kept for the next [`Self::read`].
+    pub fn ended(&mut self) -> bool {
+        loop {
+            self.buffer.reserve(ROOM);
+            match self.stream.try_read_buf(&mut self.buffer) {
+                Ok(0) => return true,
+                Ok(_) => {}
+                Err(e) => return e.kind() != io::ErrorKind::WouldBlock,
+            }
+        }
+    }
+
+    /// Returns once the other side has ended it.
+    pub async fn end(&mut self) {
+        while self.stream.readable().await.is_ok() && !self.ended() {}
+    }
+
+    /// Ends it as a machine does that vanishes: by a reset.
+    pub fn reset(self) {
+        let _ = self.stream.set_zero_linger();
+    }
+
     /// Writes a message whole.
     pub async fn write(&mut self, head: &str, body: &[u8]) -> io::Result<()> {
         let mut bytes = format!("{head}\r\nContent-Length: {}\r\n\r\n", body.len()).into_bytes();
@@ -159,5 +187,6 @@
     let length: usize = message.header("content-length").parse().unwrap_or(0);
     let Some(body) = bytes.get(head..head + length) else { return Ok(None) };
     message.body = text(body);
+    message.bytes = head + length;
     Ok(Some((message, head + length)))
 }
--- a/stand-ins/src/lib.rs
+++ b/stand-ins/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod discovery;
 pub mod hall;
+pub mod hollow;
 pub mod http;
 pub mod installation;
 pub mod program;
