--- /dev/null
+++ b/lab/tests/hollow_kill.rs
@@ -0,0 +1,83 @@
+//! A hollow dispatcher that is killed: nothing of it goes on. Alone in its file, since it counts the process's
+//! descriptors.
+
+#[path = "common/scene.rs"]
+#[allow(dead_code, reason = "each test file uses its part")]
+mod scene;
+
+use sablerun_lab::scale::config::config;
+use sablerun_lab::scale::hollow::{Hollow, Shared};
+use sablerun_lab::scale::records::{Acts, Answers};
+use sablerun_lab::scale::stream::Arrivals;
+use sablerun_lab::scale::words::{Request, Stream};
+use sablerun_stand_ins::hollow::tally::{Count, Gauge};
+use std::cell::RefCell;
+use std::net::TcpStream;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+/// Polls until something holds; fails after a long while.
+async fn until(what: &str, mut holds: impl AsyncFnMut() -> bool) {
+    let end = Instant::now() + Duration::from_secs(30);
+    while !holds().await {
+        assert!(Instant::now() < end, "{what}");
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+}
+
+fn descriptors() -> usize {
+    std::fs::read_dir("/proc/self/fd").unwrap().count()
+}
+
+#[test]
+fn a_killed_one_leaves_nothing_behind_and_comes_up_anew() {
+    actix_rt::System::new().block_on(async {
+        let mut layout = scene::layout("hollow_kill", 3, 1, true);
+        layout.stream = Stream { fill: 5, fill_s: 0.0, work_mean_s: 3600.0, ..layout.stream };
+        let (runners, hosts) = scene::runners(&layout).await;
+        let discovery = scene::discovery(&hosts).await;
+        let answers = Answers::create(&layout.folder, "requests.csv", Duration::from_secs(3600)).unwrap();
+        let acts = Acts::create(&layout.folder, "acts.csv").unwrap();
+        let (steps, tenants) = (RefCell::default(), true);
+        let shared = Rc::new(Shared { answers: answers.clone(), acts, steps, tenants });
+        let text = || config(&layout, 0, &layout.settings, discovery.at[0]);
+        let before = descriptors();
+
+        for round in 1..=2u64 {
+            let hollow = Hollow::start(&shared, 0, text()).await.unwrap();
+            until("the watch", async || discovery.calls.count("stream=1") == round as usize).await;
+            let arrivals = || Arrivals::new(&layout.stream, layout.seed + round, 0, 1.0);
+            assert_eq!(arrivals().count(), 5);
+            arrivals().for_each(|arrival| hollow.arrived(arrival));
+            let tally = runners.tally();
+            until("all run", async || tally.count(true, Count::Started) == 5 * round).await;
+            until("all known to run", async || hollow.held().await.accepted > 0).await;
+            let held = hollow.held().await;
+            assert_eq!(held.open, 5);
+            assert!(held.runners > 0);
+            assert!(descriptors() > before);
+            TcpStream::connect(layout.dispatchers[0].listen).unwrap();
+
+            hollow.kill().await;
+            assert!(TcpStream::connect(layout.dispatchers[0].listen).is_err(), "its listener is closed");
+            let counts = answers.counts();
+            assert_eq!((counts["requests.cut"], counts["requests.out"]), (5.0 * round as f64, 0.0));
+            // What holds the runtime, the links and every task holds this too.
+            drop(hollow);
+            assert_eq!(Rc::strong_count(&shared), 1, "something of it is left");
+            // Runners hear of its end by their connections alone: a killed process gives nothing up.
+            until("its connections end", async || tally.now(true, Gauge::Connections) == 0).await;
+            until("its sockets are closed", async || {
+                let resting = tally.now(true, Gauge::Resting) as usize;
+                descriptors() <= before + resting
+            })
+            .await;
+            assert_eq!(tally.count(true, Count::GiveUps), 0);
+        }
+        answers.flush().unwrap();
+        let mut rows = csv::Reader::from_path(layout.folder.join("requests.csv")).unwrap();
+        let rows: Vec<Request> = rows.deserialize().map(Result::unwrap).collect();
+        assert_eq!(rows.len(), 10);
+        assert!(rows.iter().all(|row| row.answer == "cut" && row.answered_us >= row.taken_us));
+    });
+}
