--- a/lab/tests/parts.rs
+++ b/lab/tests/parts.rs
@@ -1,65 +1,20 @@
 //! Parts of the scale run as processes: what they are told and answer, what they record, and their end.
 
+#[path = "common/part.rs"]
+mod part;
+
+use part::Part;
 use sablerun_lab::scale::words::{
     Begin, Command, Counts, Dispatcher, Layout, Ready, Runner, Start, Way, Zone, view,
 };
 use sablerun_stand_ins::http::{self, Message};
-use serde::de::DeserializeOwned;
 use serde_json::json;
-use std::io::{BufRead, BufReader, Lines, Write};
 use std::net::{SocketAddr, TcpListener};
 use std::path::PathBuf;
-use std::process::{Child, ChildStdin, ChildStdout, Stdio};
 use std::time::Duration;
 
 const PATIENCE: Duration = Duration::from_secs(20);
 
-/// A part's process.
-struct Part {
-    child: Child,
-    to: Option<ChildStdin>,
-    from: Lines<BufReader<ChildStdout>>,
-}
-
-impl Part {
-    fn start(role: &str) -> Part {
-        let mut child = std::process::Command::new(env!("CARGO_BIN_EXE_sablerun-lab"))
-            .args(["part", role])
-            .stdin(Stdio::piped())
-            .stdout(Stdio::piped())
-            .stderr(Stdio::null())
-            .spawn()
-            .unwrap();
-        let (to, from) = (child.stdin.take(), child.stdout.take().unwrap());
-        Part { child, to, from: BufReader::new(from).lines() }
-    }
-
-    fn say<T: DeserializeOwned>(&mut self, line: &str) -> T {
-        writeln!(self.to.as_mut().unwrap(), "{line}").unwrap();
-        serde_json::from_str(&self.from.next().unwrap().unwrap()).unwrap()
-    }
-
-    fn begin(&mut self, begin: &Begin) -> Ready {
-        let ready: Ready = self.say(&serde_json::to_string(begin).unwrap());
-        assert_eq!(ready.error, None);
-        ready
-    }
-
-    fn command(&mut self, command: &Command) -> Counts {
-        let counts: Counts = self.say(&serde_json::to_string(command).unwrap());
-        assert_eq!(counts.error, None);
-        assert!(counts.at_us > 0);
-        counts
-    }
-}
-
-impl Drop for Part {
-    fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-    }
-}
-
 /// Two runners in two regions, and a dispatcher in region 1 that listens there.
 fn layout(name: &str, listen: SocketAddr) -> Layout {
     let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
