Stand-ins count by one generic tally; levels are named ..._now and ..._most

The run takes differences of counts but not of what comes and goes: names tell the two apart. No change of what is counted.

--- a/lab/tests/parts.rs
+++ b/lab/tests/parts.rs
@@ -97,11 +97,11 @@
     };
     assert_eq!(post(1), 202);
     let counts = part.command(&Command::Count);
-    assert_eq!(counts.values["hollow.running"], 1.0);
+    assert_eq!(counts.values["hollow.running_now"], 1.0);
     assert_eq!(counts.values["real.requests"], 0.0);
 
     let counts = part.command(&Command::RunnersDown { runners: vec![1] });
-    assert_eq!((counts.values["hollow.running"], counts.values["hollow.lost"]), (0.0, 1.0));
+    assert_eq!((counts.values["hollow.running_now"], counts.values["hollow.lost"]), (0.0, 1.0));
     part.command(&Command::RunnersUp { runners: vec![1] });
     assert_eq!(post(2), 202);
     part.command(&Command::Link { cut: Some(Way::Back) });
--- a/stand-ins/src/hollow.rs
+++ b/stand-ins/src/hollow.rs
@@ -7,17 +7,17 @@
 //! a cold one that is flooded stays up, and while a link is cut no try of a call-back is used up.
 
 mod connections;
-mod link;
+pub mod counted;
 pub mod manner;
 mod runner;
 mod shared;
 pub mod slots;
-pub mod tally;
 mod telling;
 
-pub use link::Cut;
+pub use crate::link::Cut;
 
-use link::Link;
+use crate::link::Link;
+use counted::Counts;
 use manner::Manner;
 use runner::Runner;
 use shared::Shared;
@@ -25,7 +25,6 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
-use tally::Tally;
 
 /// Time between looks at connections that rest.
 const SWEEP: Duration = Duration::from_secs(1);
@@ -86,7 +85,7 @@
             views: views.to_vec(),
             dispatchers: dispatchers.to_vec(),
             link: Link::default(),
-            tally: Tally::default(),
+            tally: Counts::default(),
             began,
             epoch: tokio::time::Instant::now(),
         });
@@ -136,7 +135,7 @@
     }
 
     /// What was counted.
-    pub fn tally(&self) -> &Tally {
+    pub fn tally(&self) -> &Counts {
         &self.shared.tally
     }
 
--- a/stand-ins/src/hollow/connections.rs
+++ b/stand-ins/src/hollow/connections.rs
@@ -1,10 +1,10 @@
 //! Connections from dispatchers to a hollow runner: requests, give-ups, probes, and what is answered to them. It
 //! owns the reading and the answers, and the silence of a cut link; it must never decide when a request runs.
 
-use super::link::Cut;
+use super::counted::{Count, Level};
 use super::runner::{Life, Runner};
-use super::tally::{Count, Gauge};
 use crate::http::{Connection, Message};
+use crate::link::Cut;
 use serde::Deserialize;
 use std::io;
 use std::sync::Arc;
@@ -37,14 +37,14 @@
     let hollow = runner.shared.views[view].hollow;
     let tally = &runner.shared.tally;
     tally.add(hollow, Count::Accepted, 1);
-    tally.up(hollow, Gauge::Connections);
+    tally.up(hollow, Level::Connections);
     let mut connection = Connection::new(stream);
     let reset = tokio::select! {
         biased;
         _ = life.changed() => true,
         reset = converse(&runner, view, &mut connection) => matches!(reset, Ok(true)),
     };
-    tally.down(hollow, Gauge::Connections);
+    tally.down(hollow, Level::Connections);
     if reset {
         connection.reset();
     }
--- a/stand-ins/src/hollow/runner.rs
+++ b/stand-ins/src/hollow/runner.rs
@@ -2,9 +2,9 @@
 //! the timers of what runs and the order in which a machine vanishes; it must never decide what runs when, nor
 //! read or write a connection.
 
+use super::counted::{Count, Level};
 use super::shared::Shared;
 use super::slots::{GivenUp, Load, Slots, Start};
-use super::tally::{Count, Gauge};
 use super::telling::Resting;
 use super::{Planned, connections};
 use std::io;
@@ -133,14 +133,14 @@
         life.closed().await;
         let shared = &self.shared;
         for resting in held(&self.resting).drain(..) {
-            shared.tally.down(shared.hollow(resting.dispatcher), Gauge::Resting);
+            shared.tally.down(shared.hollow(resting.dispatcher), Level::Resting);
             resting.connection.reset();
         }
         for (id, ran) in held(&self.slots).lose() {
             if let Some(dispatcher) = shared.dispatcher(&id) {
                 let hollow = shared.hollow(dispatcher);
                 shared.tally.add(hollow, Count::Lost, 1);
-                shared.tally.down(hollow, if ran { Gauge::Running } else { Gauge::Queued });
+                shared.tally.down(hollow, if ran { Level::Running } else { Level::Queued });
             }
         }
         *held(&self.standing) = Standing::Down(sockets);
@@ -149,7 +149,7 @@
 
     /// Takes a request of a dispatcher on this side: the number that it has here.
     pub fn take(self: &Arc<Self>, hollow: bool, id: &str, work_us: u64) -> u64 {
-        self.shared.tally.up(hollow, Gauge::Queued);
+        self.shared.tally.up(hollow, Level::Queued);
         let (job, start) = held(&self.slots).take(self.shared.now_us(), id, work_us);
         self.begin(start);
         job
@@ -163,7 +163,7 @@
         };
         match given_up {
             GivenUp::Waiting => {
-                self.shared.tally.down(hollow, Gauge::Queued);
+                self.shared.tally.down(hollow, Level::Queued);
                 self.shared.tally.add(hollow, Count::GivenUpWaiting, 1);
             }
             GivenUp::Running => self.shared.tally.add(hollow, Count::GivenUpRunning, 1),
@@ -184,8 +184,8 @@
         let Some(start) = start else { return };
         let Some(dispatcher) = self.shared.dispatcher(&start.id) else { return };
         let (hollow, tally) = (self.shared.hollow(dispatcher), &self.shared.tally);
-        tally.down(hollow, Gauge::Queued);
-        tally.up(hollow, Gauge::Running);
+        tally.down(hollow, Level::Queued);
+        tally.up(hollow, Level::Running);
         // One that just vanished begins nothing: it is lost with the rest.
         let Standing::Up { life, .. } = &*held(&self.standing) else { return };
         tally.add(hollow, Count::Started, 1);
@@ -207,7 +207,7 @@
         let work = async {
             tokio::time::sleep_until(self.shared.epoch + Duration::from_micros(start.ends_us)).await;
             let ended = held(&self.slots).end(self.shared.now_us(), start.job);
-            tally.down(hollow, Gauge::Running);
+            tally.down(hollow, Level::Running);
             tally.add(hollow, Count::Ended, 1);
             ended.is_some_and(|ended| {
                 self.begin(ended.next);
--- a/stand-ins/src/hollow/shared.rs
+++ b/stand-ins/src/hollow/shared.rs
@@ -1,10 +1,10 @@
 //! What all hollow runners of a process have in common. It owns the meaning of a request's id; it must never hold
 //! anything that is one runner's.
 
-use super::link::Link;
+use super::counted::Counts;
 use super::manner::Manner;
-use super::tally::Tally;
 use super::{Began, Dispatcher, View};
+use crate::link::Link;
 use tokio::time::Instant;
 
 /// What all runners have in common.
@@ -13,7 +13,7 @@
     pub views: Vec<View>,
     pub dispatchers: Vec<Dispatcher>,
     pub link: Link,
-    pub tally: Tally,
+    pub tally: Counts,
     pub began: Began,
     /// Times of slots count from here.
     pub epoch: Instant,
--- a/stand-ins/src/hollow/telling.rs
+++ b/stand-ins/src/hollow/telling.rs
@@ -1,8 +1,8 @@
 //! Call-backs of a hollow runner, and the connections that it keeps for them. It owns the tries of each until it
 //! is answered; it must never tell of a request on its own account, nor let a try pass a link that is cut.
 
+use super::counted::{Count, Level};
 use super::runner::Runner;
-use super::tally::{Count, Gauge};
 use crate::http::Connection;
 use serde_json::json;
 use std::io;
@@ -76,7 +76,7 @@
         let answer = connection.read().await?.ok_or(io::ErrorKind::UnexpectedEof)?;
         shared.tally.add(hollow, Count::BytesInCallBacks, answer.bytes);
         if !answer.header("connection").eq_ignore_ascii_case("close") {
-            shared.tally.up(hollow, Gauge::Resting);
+            shared.tally.up(hollow, Level::Resting);
             let mut resting = self.resting.lock().expect("no holder panics");
             resting.push(Resting { dispatcher, connection, since: Instant::now() });
         }
@@ -88,7 +88,7 @@
         let mut resting = self.resting.lock().expect("no holder panics");
         while let Some(place) = resting.iter().rposition(|resting| resting.dispatcher == dispatcher) {
             let mut found = resting.remove(place);
-            self.shared.tally.down(self.shared.hollow(dispatcher), Gauge::Resting);
+            self.shared.tally.down(self.shared.hollow(dispatcher), Level::Resting);
             if !found.connection.ended() {
                 return Some(found.connection);
             }
@@ -106,7 +106,7 @@
             let cut = shared.link.cut(region, self.region).is_some();
             let keep = cut || resting.since.elapsed() < rest && !resting.connection.ended();
             if !keep {
-                shared.tally.down(shared.hollow(resting.dispatcher), Gauge::Resting);
+                shared.tally.down(shared.hollow(resting.dispatcher), Level::Resting);
             }
             keep
         });
--- a/stand-ins/src/lib.rs
+++ b/stand-ins/src/lib.rs
@@ -7,5 +7,7 @@
 pub mod hollow;
 pub mod http;
 pub mod installation;
+pub mod link;
 pub mod program;
 pub mod scripted;
+pub mod tally;
--- a/stand-ins/tests/hollow.rs
+++ b/stand-ins/tests/hollow.rs
@@ -29,10 +29,10 @@
     }
     for (side, view) in [("real", 0), ("hollow", 1)] {
         let value = |name: &str| stage.value(&format!("{side}.{name}"));
-        for name in ["requests", "answers_202", "started", "ended", "connections_accepted", "max_running"] {
+        for name in ["requests", "answers_202", "started", "ended", "connections_accepted", "running_most"] {
             assert_eq!(value(name), 1, "{side}.{name}");
         }
-        assert_eq!((value("running"), value("queued"), value("callbacks")), (0, 0, 2));
+        assert_eq!((value("running_now"), value("queued_now"), value("callbacks")), (0, 0, 2));
         assert_eq!(value("bytes_in.requests"), sent[view] as u64);
         let answer = "HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n".len() as u64;
         assert_eq!(value("bytes_out.requests"), answer);
@@ -48,13 +48,17 @@
         send(&mut connection, &id(0, number), LONG).await;
         assert_eq!(answer(&mut connection).await.status, 202);
     }
-    assert_eq!((stage.value("real.running"), stage.value("real.queued")), (1, 1));
+    assert_eq!((stage.value("real.running_now"), stage.value("real.queued_now")), (1, 1));
     let probe = call(&mut connection, "GET /metrics/load").await;
     let load: serde_json::Value = serde_json::from_str(&probe.body).unwrap();
     assert_eq!((&load["outstanding"], &load["x0"]), (&json!(2), &json!(0)));
     assert_eq!(call(&mut connection, &format!("DELETE /jobs/{}", id(0, 2))).await.status, 200);
     assert_eq!(call(&mut connection, &format!("DELETE /jobs/{}", id(0, 1))).await.status, 200);
-    assert_eq!((stage.value("real.running"), stage.value("real.queued")), (1, 0), "what runs goes on");
+    assert_eq!(
+        (stage.value("real.running_now"), stage.value("real.queued_now")),
+        (1, 0),
+        "what runs goes on"
+    );
     assert_eq!((stage.value("real.given_up_waiting"), stage.value("real.given_up_running")), (1, 1));
     assert_eq!(next(&mut stage.began).await.0, id(0, 1));
     assert!(stage.began.try_recv().is_err());
@@ -159,10 +163,10 @@
         assert_eq!(refused.kind(), std::io::ErrorKind::ConnectionRefused);
     }
     assert_eq!(
-        (stage.value("real.running"), stage.value("real.queued"), stage.value("real.lost")),
+        (stage.value("real.running_now"), stage.value("real.queued_now"), stage.value("real.lost")),
         (0, 0, 2)
     );
-    assert_eq!(stage.value("real.connections_open"), 0);
+    assert_eq!(stage.value("real.connections_open_now"), 0);
     stage.runners.down(&[0]).await.unwrap();
     stage.runners.up(&[0]).unwrap();
     stage.runners.up(&[0]).unwrap();
@@ -214,7 +218,7 @@
     send(&mut connection, &id(3, 1), LONG).await;
     assert_eq!(next(&mut stage.began).await.0, id(3, 1));
     send(&mut gone, &id(3, 2), 5).await;
-    while stage.value("hollow.queued") == 0 {
+    while stage.value("hollow.queued_now") == 0 {
         tokio::task::yield_now().await;
     }
     // Its end before the 202 gives it up.
@@ -222,7 +226,7 @@
     while stage.value("hollow.given_up_waiting") == 0 {
         tokio::task::yield_now().await;
     }
-    assert_eq!((stage.value("hollow.running"), stage.value("hollow.queued")), (1, 0));
+    assert_eq!((stage.value("hollow.running_now"), stage.value("hollow.queued_now")), (1, 0));
     assert_eq!(stage.value("hollow.callback_tries"), 0);
     assert_eq!(stage.value("hollow.bytes_out.requests"), 0);
     stage.runners.link(None);
