--- a/node/src/runtime.rs
+++ b/node/src/runtime.rs
@@ -5,23 +5,26 @@
 mod clock;
 mod job;
 mod links;
+mod observer;
 mod telling;
 mod waiting;
 
 pub use clock::{Clock, unix_now};
 pub use job::Job;
 pub use links::{Link, Roster};
+pub use observer::Observer;
 pub use waiting::Here;
 
-use crate::core::{Answer, Arrival, AttemptId, Core, Effect, Input, Ticket};
+use crate::core::{Answer, AttemptId, Core, Effect, Input, Ticket};
 use crate::figures::{ClassFigures, Counted, Figures};
 use crate::limits::Limits;
 use sablerun as sr;
-use std::cell::{Cell, RefCell};
+use std::cell::{Cell, OnceCell, RefCell};
 use std::collections::{HashMap, VecDeque};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
+use telling::tell_of;
 use tokio::sync::Notify;
 use waiting::Waiting;
 
@@ -48,6 +51,8 @@
     stopping: Cell<bool>,
     /// The longest deadline of the settings in force.
     longest: Cell<Duration>,
+    /// Who looks on: nobody, but where the lab plays dispatchers in its own process.
+    observer: OnceCell<Rc<dyn Observer>>,
 }
 
 impl Runtime {
@@ -69,6 +74,7 @@
             retimed: Notify::new(),
             stopping: Cell::new(false),
             longest: Cell::default(),
+            observer: OnceCell::new(),
         })
     }
 
@@ -107,23 +113,8 @@
             let next = self.inputs.borrow_mut().pop_front();
             let Some(input) = next else { break };
             tells_of_runners |= matches!(input, Input::List(..) | Input::Hand { .. });
-            match &input {
-                Input::Arrived(arrival) => {
-                    let Arrival { id, job, ticket, .. } = arrival;
-                    log::debug!("request {id} of class {}, ticket {}", job.class, ticket.0);
-                }
-                Input::Ended(AttemptId { request, number }, ending) => {
-                    log::debug!("attempt {request}.{number} ended: {:?}", ending.outcome);
-                }
-                Input::Told { id, from, ending } => {
-                    let said = ending.report.unwrap_or_default();
-                    let (errors, inflight) = (said.errors_per_s, said.inflight);
-                    log::debug!(errors:?, inflight:?; "runner {from} ended {id}: {:?}", ending.outcome);
-                }
-                Input::Started { id, from } => log::debug!("runner {from} started {id}"),
-                _ => {}
-            }
-            let effects = self.core.borrow_mut().step(self.clock.now(), input);
+            tell_of(&input);
+            let effects = self.step(input);
             for effect in effects {
                 self.carry_out(effect);
             }
