Scale run: what a hollow dispatcher is no evidence for

Change: the list heads hollow.rs: clients' connections, single processor time and memory, the process's descriptors, delays under load, starts and ends.

--- a/lab/src/scale/hollow.rs
+++ b/lab/src/scale/hollow.rs
@@ -1,6 +1,21 @@
 //! One hollow dispatcher: the program's own reducer, links, discovery and front, put together as the program does,
 //! on real sockets; its clients' requests are handed in within the process. It owns everything of it, so that a
 //! kill ends all at once, as the system ends a process; it must never do what the program does in another way.
+//!
+//! What it is no evidence for, and where a real one has to be looked at:
+//! - **clients' connections**: there are none, so nothing of their descriptors and memory, of reading and writing
+//!   their messages, of connections refused or closed for want of room;
+//! - **processor time and memory of one**: known of the whole process only, which also holds the records, the
+//!   clients' tasks and the timing of steps; what a process of its own costs besides (its code's pages, allocator,
+//!   runtime, log) is shared. A mean is the process's figure by the number that are up;
+//! - **the limit of descriptors**: each keeps to its own, but the system's is that of the process, for all;
+//! - **delays under load**: three threads serve all, so one that is busy holds others up; in a real fleet the
+//!   system shares the cores out;
+//! - **reading a configuration from a file, signals, start and end of a process**: a kill closes the sockets as the
+//!   system would, a start is without the program's loading; there is no orderly end.
+//!
+//! The same are: decisions, timers, list and watch, attempts, give-ups, probes, call-backs, pools of connections to
+//! runners, what new settings change, and the bytes of all of these.
 
 mod client;
 
