Tests of hollow dispatchers play runners and discovery as the parts that the run uses

Need: discovery's and the runners' parts are there, and the in-process stand-ins' sockets blurred what the kill test counts. Change: both tests start the parts' processes; the kill test counts descriptors exactly and sees the watch end; the comparison takes in the whole lists that discovery told.

--- a/lab/tests/common/scene.rs
+++ b/lab/tests/common/scene.rs
@@ -1,12 +1,11 @@
 //! A small layout for tests of the scale run, with hollow runners and discovery of its own.
 
-use sablerun_lab::scale::words::{Dispatcher, Layout, Runner, Stream, Zone};
-use sablerun_stand_ins::discovery::Discovery;
-use sablerun_stand_ins::hollow::manner::Manner;
-use sablerun_stand_ins::hollow::{self, Planned, Runners, View};
+use super::part::Part;
+use sablerun_lab::scale::words::{Begin, Command, Dispatcher, Layout, Runner, Stream, Zone};
 use sablerun_stand_ins::installation::Class;
 use sablerun_stand_ins::program::{free_port, settings_of};
-use serde_json::{Value, json};
+use serde_json::json;
+use std::collections::BTreeMap;
 use std::path::PathBuf;
 
 /// Runners of 64 slots and dispatchers, all in one zone, with two tenants and an empty stream.
@@ -47,30 +46,27 @@
     }
 }
 
-/// The runners of a layout, and what discovery says of them to each dispatcher.
-pub async fn runners(layout: &Layout) -> (Runners, Vec<Vec<Value>>) {
-    let planned = layout.runners.iter().map(|r| Planned { name: r.name.clone(), region: 0, slots: r.slots });
-    let planned: Vec<_> = planned.collect();
-    let views = [false, true].map(|hollow| View { region: 0, hollow });
-    let of = |d: &Dispatcher| hollow::Dispatcher { listen: d.listen, view: usize::from(d.hollow) };
-    let dispatchers: Vec<_> = layout.dispatchers.iter().map(of).collect();
-    let manner = Manner::of(&layout.settings);
-    let runners = Runners::start(&planned, &views, &dispatchers, manner, Box::new(|_, _| {})).await.unwrap();
-    let dial = runners.dial();
-    let hosts = layout.dispatchers.iter().map(|d| {
-        let told = (0..planned.len()).map(|n| host(layout, n, dial[n][usize::from(d.hollow)], "active"));
-        told.collect()
-    });
-    (runners, hosts.collect())
+/// Hollow runners and discovery of a layout, as processes.
+pub struct Stage {
+    pub runners: Part,
+    pub discovery: Part,
+    /// What other parts begin with.
+    pub begin: Begin,
 }
 
-/// What discovery says of a runner.
-pub fn host(layout: &Layout, runner: usize, dial: std::net::SocketAddr, health: &str) -> Value {
-    json!({"host": layout.runners[runner].name, "dial": dial.to_string(), "site": "a", "class": "k4-full",
-           "block": 0, "health": health, "share": 1.0, "born_ms": 0})
-}
+impl Stage {
+    pub fn start(layout: &Layout) -> Stage {
+        let (mut runners, mut discovery) = (Part::start("runners"), Part::start("discovery"));
+        let mut begin = Begin { layout: layout.clone(), dial: Vec::new(), discovery: Vec::new() };
+        begin.dial = runners.begin(&begin).dial;
+        begin.discovery = discovery.begin(&begin).discovery;
+        Stage { runners, discovery, begin }
+    }
 
-/// Discovery with these lists.
-pub async fn discovery(hosts: &[Vec<Value>]) -> Discovery {
-    Discovery::start(hosts.to_vec()).await.unwrap()
+    /// What the runners have counted of hollow or real dispatchers.
+    pub fn counted(&mut self, hollow: bool) -> BTreeMap<String, f64> {
+        let side = if hollow { "hollow." } else { "real." };
+        let counts = self.runners.command(&Command::Count).values.into_iter();
+        counts.filter_map(|(name, value)| Some((name.strip_prefix(side)?.to_owned(), value))).collect()
+    }
 }
--- a/lab/tests/hollow.rs
+++ b/lab/tests/hollow.rs
@@ -1,7 +1,7 @@
 //! Hollow dispatchers mean the same: the same few dispatchers, played as real processes and as hollow ones between
 //! the same hollow runners, bring about the same messages. Compared is what doesn't depend on chance: which runner a
 //! request goes to, how many connections that takes, and whatever a stalled machine repeats (a call-back's further
-//! tries, a watch that counts as silent) are left out; settings allow one try only, so that each request is sent once.
+//! tries, a watch that counts as silent and is asked for again) are left out; settings allow one try only, so that each request is sent once.
 
 #[path = "common/part.rs"]
 mod part;
@@ -12,9 +12,10 @@
 use sablerun_lab::scale::acts::acts_of_log;
 use sablerun_lab::scale::config::config;
 use sablerun_lab::scale::stream::Arrivals;
-use sablerun_lab::scale::words::{Act, Begin, Command, Counts, Layout, Request, Stream};
+use sablerun_lab::scale::words::{Act, Command, Counts, Layout, Request, Stream};
 use sablerun_stand_ins::http;
 use sablerun_stand_ins::program::program;
+use scene::Stage;
 use serde_json::{Value, json};
 use std::collections::{BTreeMap, BTreeSet};
 use std::fs::File;
@@ -104,7 +105,6 @@
 }
 
 fn play(hollow: bool) -> Played {
-    let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build().unwrap();
     let mut layout = scene::layout(&format!("hollow-{hollow}"), 4, DISPATCHERS, hollow);
     layout.settings["limits"]["tryLimit"] = json!(1);
     layout.settings["limits"]["parallelTries"] = json!(false);
@@ -123,13 +123,11 @@
     };
     let arrivals = |n| Arrivals::new(&layout.stream, layout.seed, n, layout.dispatchers[n].share).count();
     let due: usize = (0..DISPATCHERS).map(arrivals).sum();
-    let (runners, hosts) = runtime.block_on(scene::runners(&layout));
-    let discovery = runtime.block_on(scene::discovery(&hosts));
-    let begin = Begin { layout: layout.clone(), dial: runners.dial(), discovery: discovery.at.clone() };
+    let mut stage = Stage::start(&layout);
 
-    let real = (!hollow).then(|| Real::start(&layout, &discovery.at));
+    let real = (!hollow).then(|| Real::start(&layout, &stage.begin.discovery));
     let mut part = Part::start(if hollow { "dispatchers" } else { "clients" });
-    part.begin(&begin);
+    part.begin(&stage.begin);
     let acted = |part: &mut Part| match &real {
         Some(real) => (0..DISPATCHERS)
             .flat_map(|n| {
@@ -149,9 +147,9 @@
         until(&format!("all act by {what} {version}"), || acted(part).is_superset(&due));
     };
     all_act(&mut part, "list", 1);
-    for (version, health) in [(2, "leaving"), (3, "left"), (4, "active")] {
-        let dial = runners.dial()[3][usize::from(hollow)];
-        discovery.tell(&vec![vec![scene::host(&layout, 3, dial, health)]; DISPATCHERS]);
+    for health in ["leaving", "left", "active"] {
+        let told = Command::List { runners: vec![3], health: health.to_owned(), up: health == "active" };
+        let version = stage.discovery.command(&told).seq;
         all_act(&mut part, "list", version);
     }
     let mut settings = layout.settings.clone();
@@ -179,17 +177,18 @@
     for row in rows.deserialize().map(Result::<Request, _>::unwrap) {
         *requests.entry((row.answer, row.class, row.tenant, row.gang)).or_insert(0) += 1;
     }
-    let (own, other) = if hollow { ("hollow", "real") } else { ("real", "hollow") };
     let mut values = BTreeMap::new();
     // A client may have its answer before the runner has that to its call-back.
     until("all is told", || {
-        values = runners.tally().values();
-        let of = |kind: &str| values[&format!("{own}.{kind}")];
-        of("callbacks") >= of("started") + of("ended")
+        values = stage.counted(hollow);
+        values["callbacks"] >= values["started"] + values["ended"]
     });
-    assert_eq!(values[&format!("{other}.requests")], 0.0);
+    assert_eq!(stage.counted(!hollow)["requests"], 0.0);
+    let side = if hollow { "hollow" } else { "real" };
+    let lists = stage.discovery.command(&Command::Count).values[&format!("{side}.whole_lists")];
     let kinds = ["requests", "answers_202", "started", "ended", "callbacks", "copies", "give_ups", "probes"];
-    let messages = kinds.into_iter().map(|kind| (kind, values[&format!("{own}.{kind}")])).collect();
+    let messages =
+        kinds.into_iter().map(|kind| (kind, values[kind])).chain([("whole_lists", lists)]).collect();
     Played { requests, messages, acted }
 }
 
@@ -201,6 +200,7 @@
     assert!(sent > 80.0);
     // Each request is sent once, and told of twice: as it begins and as it is done.
     assert_eq!((real.messages["callbacks"], real.messages["copies"]), (2.0 * sent, 0.0));
+    assert_eq!(real.messages["whole_lists"], DISPATCHERS as f64);
     assert_eq!(real.acted.len(), DISPATCHERS * 5);
     assert_eq!(real, hollow);
 }
--- a/lab/tests/hollow_kill.rs
+++ b/lab/tests/hollow_kill.rs
@@ -1,16 +1,17 @@
 //! A hollow dispatcher that is killed: nothing of it goes on. Alone in its file, since it counts the process's
 //! descriptors.
 
+#[path = "common/part.rs"]
+mod part;
 #[path = "common/scene.rs"]
-#[allow(dead_code, reason = "each test file uses its part")]
 mod scene;
 
 use sablerun_lab::scale::config::config;
 use sablerun_lab::scale::hollow::{Hollow, Shared};
 use sablerun_lab::scale::records::{Acts, Answers};
 use sablerun_lab::scale::stream::Arrivals;
-use sablerun_lab::scale::words::{Request, Stream};
-use sablerun_stand_ins::hollow::tally::{Count, Gauge};
+use sablerun_lab::scale::words::{Command, Request, Stream};
+use scene::Stage;
 use std::cell::RefCell;
 use std::net::TcpStream;
 use std::rc::Rc;
@@ -34,29 +35,27 @@
     actix_rt::System::new().block_on(async {
         let mut layout = scene::layout("hollow_kill", 3, 1, true);
         layout.stream = Stream { fill: 5, fill_s: 0.0, work_mean_s: 3600.0, ..layout.stream };
-        let (runners, hosts) = scene::runners(&layout).await;
-        let discovery = scene::discovery(&hosts).await;
+        let mut stage = Stage::start(&layout);
+        let discovery = stage.begin.discovery[0];
         let answers = Answers::create(&layout.folder, "requests.csv", Duration::from_secs(3600)).unwrap();
         let acts = Acts::create(&layout.folder, "acts.csv").unwrap();
         let (steps, tenants) = (RefCell::default(), true);
         let shared = Rc::new(Shared { answers: answers.clone(), acts, steps, tenants });
-        let text = || config(&layout, 0, &layout.settings, discovery.at[0]);
+        let text = || config(&layout, 0, &layout.settings, discovery);
         let before = descriptors();
 
         for round in 1..=2u64 {
             let hollow = Hollow::start(&shared, 0, text()).await.unwrap();
-            until("the watch", async || discovery.calls.count("stream=1") == round as usize).await;
             let arrivals = || Arrivals::new(&layout.stream, layout.seed + round, 0, 1.0);
             assert_eq!(arrivals().count(), 5);
             arrivals().for_each(|arrival| hollow.arrived(arrival));
-            let tally = runners.tally();
-            until("all run", async || tally.count(true, Count::Started) == 5 * round).await;
+            let mut counted = |what: &str| stage.counted(true)[what];
+            until("all run", async || counted("started") == 5.0 * round as f64).await;
             until("all known to run", async || hollow.held().await.accepted > 0).await;
             let held = hollow.held().await;
             assert_eq!(held.open, 5);
             assert!(held.runners > 0);
             assert!(descriptors() > before);
-            TcpStream::connect(layout.dispatchers[0].listen).unwrap();
 
             hollow.kill().await;
             assert!(TcpStream::connect(layout.dispatchers[0].listen).is_err(), "its listener is closed");
@@ -65,14 +64,16 @@
             // What holds the runtime, the links and every task holds this too.
             drop(hollow);
             assert_eq!(Rc::strong_count(&shared), 1, "something of it is left");
+            assert_eq!(descriptors(), before, "a socket of it is left open");
             // Runners hear of its end by their connections alone: a killed process gives nothing up.
-            until("its connections end", async || tally.now(true, Gauge::Connections) == 0).await;
-            until("its sockets are closed", async || {
-                let resting = tally.now(true, Gauge::Resting) as usize;
-                descriptors() <= before + resting
+            until("its connections end", async || counted("connections_open_now") == 0.0).await;
+            assert_eq!(counted("give_ups"), 0.0);
+            let told = Command::List { runners: vec![0], health: "active".to_owned(), up: false };
+            until("its watch ends", async || {
+                // Discovery sees that nobody reads when it writes.
+                stage.discovery.command(&told).values["hollow.watches_now"] == 0.0
             })
             .await;
-            assert_eq!(tally.count(true, Count::GiveUps), 0);
         }
         answers.flush().unwrap();
         let mut rows = csv::Reader::from_path(layout.folder.join("requests.csv")).unwrap();
