--- a/digest/src/follower.rs
+++ b/digest/src/follower.rs
@@ -4,6 +4,7 @@
 
 use crate::code::decode;
 use crate::frame::{Frame, Load};
+use std::collections::HashMap;
 
 /// What became of a frame.
 #[derive(Clone, Debug, PartialEq)]
@@ -22,6 +23,7 @@
     held: Option<(u64, u64)>,
     fields: Vec<String>,
     names: Vec<String>,
+    numbers: HashMap<String, usize>,
     codes: Vec<Vec<u16>>,
 }
 
@@ -50,7 +52,10 @@
         if frame.whole {
             next.fields.clone_from(&frame.fields);
         }
-        next.names.extend(frame.names.iter().cloned());
+        for name in &frame.names {
+            next.numbers.insert(name.clone(), next.names.len());
+            next.names.push(name.clone());
+        }
         next.codes.resize(next.names.len(), Vec::new());
         let Some(changed) = next.apply(&frame.body) else {
             // Part of it may have been put to use: nothing of it is believed.
@@ -62,6 +67,12 @@
         Taken::Changed(changed.into_iter().map(|number| self.load(number)).collect())
     }
 
+    /// What is known of a runner; none if nothing has been told.
+    pub fn load_of(&self, runner: &str) -> Option<Load> {
+        let number = *self.numbers.get(runner)?;
+        (!self.codes[number].is_empty()).then(|| self.load(number))
+    }
+
     /// Puts a body to use: the numbers of the runners that it tells of; none if it makes no sense.
     fn apply(&mut self, body: &[u16]) -> Option<Vec<usize>> {
         let (mut rest, mut number, mut changed) = (body.iter().copied(), 0, Vec::new());
--- a/node/src/core.rs
+++ b/node/src/core.rs
@@ -13,6 +13,7 @@
 use std::rc::Rc;
 
 mod attempts;
+mod digest;
 mod hands;
 mod input;
 mod keyed;
@@ -105,6 +106,8 @@
     stop: Option<sr::Time>,
     /// The clients' keys, where they are kept.
     keys: Option<keys::Store>,
+    /// The load digest, where one is followed.
+    digest: Option<digest::Digest>,
     /// Where runners stand, by number.
     places: HashMap<u32, keys::Place>,
     /// What each source last said of its runners.
@@ -136,6 +139,7 @@
     ) -> Result<Core<J>, sr::SettingsError> {
         Ok(Core {
             keys: None,
+            digest: None,
             places: HashMap::new(),
             balancer: sr::Balancer::new(settings.clone(), seed, now)?,
             with_tenants: !settings.tenants.is_empty(),
@@ -208,6 +212,7 @@
                     self.tell(now, sr::Event::Probed(sr::WorkerId(runner), ok, report));
                 }
             }
+            Input::Digest(frame) => self.digest(now, &frame),
             Input::List(source, kind, listed) => self.list(now, source, kind, listed),
             Input::ListFailed => self.tell(now, sr::Event::ListFailed),
             Input::ListSilent => self.tell(now, sr::Event::ListSilent),
--- /dev/null
+++ b/node/src/core/digest.rs
@@ -0,0 +1,65 @@
+//! What a load digest says of runners, where the operator has one: it stands in for probes while it is fresh. It owns
+//! how long a digest is believed. It must never ask for anything that the platform does not give: without a digest
+//! nothing here happens, and each probe goes out as the module asks.
+
+use super::{Core, Effect};
+use sablerun as sr;
+use sablerun_digest::{Follower, Frame, Load, Taken};
+
+/// A digest that is followed.
+pub(super) struct Digest {
+    follower: Follower,
+    /// A digest without a frame for so long is not believed.
+    silent: sr::Span,
+    heard: Option<sr::Time>,
+}
+
+impl<J: Clone> Core<J> {
+    /// Follows a digest from now on; it holds for so long after each frame.
+    pub fn follow_digest(&mut self, silent: sr::Span) {
+        self.digest = Some(Digest { follower: Follower::default(), silent, heard: None });
+    }
+
+    /// A frame has come. One that leaves a gap is not believed, nor is what came before it any more.
+    pub(super) fn digest(&mut self, now: sr::Time, frame: &Frame) {
+        let Some(digest) = &mut self.digest else { return };
+        match digest.follower.take(frame) {
+            Taken::Changed(loads) => {
+                digest.heard = Some(now);
+                loads.iter().for_each(|load| self.digest_tells(now, load));
+            }
+            // An earlier publisher's or a repeat: no sign that what is held is up to date.
+            Taken::Old => {}
+            Taken::Gap => {
+                digest.heard = None;
+                self.effects.push(Effect::AskDigest);
+            }
+        }
+    }
+
+    /// Whether a fresh digest covers a runner: then the module hears what the digest has, and no probe goes out.
+    pub(super) fn digest_answers(&mut self, now: sr::Time, worker: sr::WorkerId) -> bool {
+        let name = self.tables.workers.name(worker.0);
+        let fresh = |digest: &&Digest| digest.heard.is_some_and(|heard| now - heard <= digest.silent);
+        let load = self.digest.as_ref().filter(fresh).and_then(|digest| digest.follower.load_of(name));
+        let Some(load) = load else { return false };
+        let event = self.digest_event(worker, &load);
+        self.events.push_back(event);
+        true
+    }
+
+    fn digest_tells(&mut self, now: sr::Time, load: &Load) {
+        // One that no list has named yet is heard of again when the module asks for it.
+        if let Some(worker) = self.tables.workers.get(&load.runner) {
+            let event = self.digest_event(sr::WorkerId(worker), load);
+            self.tell(now, event);
+        }
+    }
+
+    fn digest_event(&self, worker: sr::WorkerId, load: &Load) -> sr::Event {
+        let fields = self.digest.iter().flat_map(|digest| digest.follower.fields());
+        let figures = fields.map(String::as_str).zip(load.figures.iter().copied());
+        let report = load.ok.then(|| self.tables.named_report(figures));
+        sr::Event::Probed(worker, load.ok, report)
+    }
+}
--- a/node/src/core/input.rs
+++ b/node/src/core/input.rs
@@ -4,6 +4,7 @@
 use super::Retune;
 use bytes::Bytes;
 use sablerun as sr;
+use sablerun_digest::Frame;
 use sablerun_keys as keys;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -128,6 +129,8 @@
         ok: bool,
         report: Option<sr::Report>,
     },
+    /// A frame of the load digest.
+    Digest(Frame),
     List(Source, sr::ListKind, Vec<Listed>),
     /// A call for the list failed or its watch broke.
     ListFailed,
@@ -165,6 +168,7 @@
             Input::Ended(..) => "ended",
             Input::Unusable(_) => "unusable",
             Input::Probed { .. } => "probed",
+            Input::Digest(_) => "digest",
             Input::List(..) => "list",
             Input::ListFailed | Input::ListSilent | Input::ListAway => "list_lost",
             Input::Retune(_) => "retune",
@@ -196,6 +200,8 @@
     /// Ask there for the whole list once.
     Fetch(SocketAddr),
     Probe(String),
+    /// Ask the digest for the whole: frames are missing.
+    AskDigest,
     Release(String),
     /// What came of an operator's call to take a runner out or put it back.
     Handed {
--- a/node/src/core/module.rs
+++ b/node/src/core/module.rs
@@ -41,6 +41,7 @@
             sr::Action::Timer(at, token) => self.set_timer(at, Timer::Module(token)),
             sr::Action::Subscribe => self.effects.push(Effect::Subscribe(self.roster)),
             sr::Action::Fetch => self.effects.push(Effect::Fetch(self.roster)),
+            sr::Action::Probe(worker) if self.digest_answers(now, worker) => {}
             sr::Action::Probe(worker) => {
                 self.effects.push(Effect::Probe(self.tables.workers.name(worker.0).to_owned()));
             }
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -72,7 +72,7 @@
     config.seed()?;
     let machine = &config.limits;
     operator.check(&tables, machine.memory_mb).map_err(|e| format!("--config: {e}"))?;
-    let Operator { faktory: gateway, keys: kept } = operator;
+    let Operator { faktory: gateway, keys: kept, digest } = operator;
     let bounds = kept.as_ref().map(|kept| kept.bounds(sr::Span::from_secs(0.25)));
     let limits = Limits::new(machine.sockets, machine.memory_mb, &config.settings, gateway.is_some());
     let limits = limits.with_keys(bounds);
@@ -98,6 +98,9 @@
         admin.map(|at| net::door::open(at).map_err(|e| format!("admin_addr: {at}: {e}"))).transpose()?;
 
     let (_, roster) = assembly::join(&runtime);
+    if let Some(digest) = &digest {
+        net::digest::Digest::start(&runtime, digest);
+    }
     let backlog = runtime.limits.backlog;
     let second = gateway.map(|gateway| {
         let at = gateway.listen;
--- a/node/src/net/mod.rs
+++ b/node/src/net/mod.rs
@@ -2,6 +2,7 @@
 //! core's effects into messages. None of them may decide anything.
 
 pub mod callbacks;
+pub mod digest;
 pub mod discovery;
 pub mod door;
 pub mod faktory;
--- a/node/src/operator.rs
+++ b/node/src/operator.rs
@@ -6,7 +6,9 @@
 use sablerun as sr;
 use sablerun_keys as keys;
 use sablerun_settings::Tables;
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
+use std::time::Duration;
 
 /// The operator's file, a section for each subsystem; what is left out is off.
 #[derive(Clone, Debug, Default, serde::Deserialize)]
@@ -16,6 +18,23 @@
     pub faktory: Option<Gateway>,
     /// Idempotency keys at the edge.
     pub keys: Option<Keys>,
+    /// A load digest that is followed in place of probes.
+    pub digest: Option<Digest>,
+}
+
+/// The section `digest`.
+#[derive(Clone, Debug, serde::Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Digest {
+    /// Where the publisher listens.
+    pub at: SocketAddr,
+    /// Time without a frame after which it is not believed, in seconds.
+    #[serde(default = "default_silent")]
+    pub silent_s: f64,
+}
+
+fn default_silent() -> f64 {
+    3.0
 }
 
 /// The section `keys`.
@@ -90,13 +109,14 @@
         if !table.contains_key("listen") {
             return section(text);
         }
-        if let Some(other) = ["faktory", "keys"].into_iter().find(|name| table.contains_key(*name)) {
+        if let Some(other) = ["faktory", "keys", "digest"].into_iter().find(|name| table.contains_key(*name))
+        {
             return Err(format!(
                 "{other}: the Faktory front's keys stand at this file's top, the old form; move them under \
                  [faktory] to use sections"
             ));
         }
-        Ok(Operator { faktory: Some(section(text)?), keys: None })
+        Ok(Operator { faktory: Some(section(text)?), ..Operator::default() })
     }
 
     /// Whether the file makes sense with these settings and so much memory.
@@ -111,6 +131,9 @@
         if let Some(keys) = &self.keys {
             keys.check(memory_mb).map_err(|e| format!("keys: {e}"))?;
         }
+        if let Some(digest) = &self.digest {
+            digest.check().map_err(|e| format!("digest: {e}"))?;
+        }
         Ok(())
     }
 }
@@ -133,6 +156,20 @@
     }
 }
 
+impl Digest {
+    pub fn check(&self) -> Result<(), String> {
+        match (0.1..=60.0).contains(&self.silent_s) {
+            true => Ok(()),
+            false => Err("silent_s: from 0.1 to 60".to_owned()),
+        }
+    }
+
+    /// Time without a frame after which it is not believed.
+    pub fn silent(&self) -> Duration {
+        Duration::from_secs_f64(self.silent_s)
+    }
+}
+
 impl Keys {
     pub fn check(&self, memory_mb: usize) -> Result<(), String> {
         if self.entries == 0 || self.entries > 100_000_000 {
--- a/node/src/runtime.rs
+++ b/node/src/runtime.rs
@@ -11,7 +11,7 @@
 
 pub use clock::{Clock, unix_now};
 pub use job::Job;
-pub use links::{Link, Roster};
+pub use links::{Digests, Link, Roster};
 pub use observer::Observer;
 pub use waiting::Here;
 
@@ -37,6 +37,7 @@
     stepping: Cell<bool>,
     links: RefCell<Vec<Rc<dyn Link>>>,
     roster: RefCell<Option<Rc<dyn Roster>>>,
+    digests: RefCell<Option<Rc<dyn Digests>>>,
     waiting: RefCell<HashMap<Ticket, Waiting>>,
     /// The figures that the operators' door reads.
     pub figures: Arc<Figures>,
@@ -65,6 +66,7 @@
             stepping: Cell::new(false),
             links: RefCell::default(),
             roster: RefCell::default(),
+            digests: RefCell::default(),
             waiting: RefCell::default(),
             figures: Arc::new(Figures::default()),
             classes: RefCell::default(),
@@ -87,6 +89,12 @@
         *self.roster.borrow_mut() = Some(roster);
     }
 
+    /// Follows a digest, which is believed for so long after each frame.
+    pub fn set_digests(&self, digests: Rc<dyn Digests>, silent: Duration) {
+        self.core.borrow_mut().follow_digest(sr::Span(silent.as_nanos() as u64));
+        *self.digests.borrow_mut() = Some(digests);
+    }
+
     ///
     /// # Errors
     ///
@@ -179,6 +187,10 @@
                     None => self.feed(Input::Probed { runner, ok: false, report: None }),
                 }
             }
+            Effect::AskDigest => {
+                let digests = self.digests.borrow().clone();
+                digests.into_iter().for_each(|digests| digests.ask_whole());
+            }
             Effect::Handed { call, result } => *self.handed.borrow_mut() = Some((call, result)),
             Effect::Release(runner) => {
                 if let Some(link) = self.link_to(&runner) {
--- a/node/src/runtime/links.rs
+++ b/node/src/runtime/links.rs
@@ -22,6 +22,12 @@
     fn release(&self, runner: &str);
 }
 
+/// The way to a load digest.
+pub trait Digests {
+    /// Asks for the whole anew.
+    fn ask_whole(&self);
+}
+
 /// The way to discovery.
 pub trait Roster {
     /// Asks this address for changes from now on.
--- a/node/tests/model/rules.rs
+++ b/node/tests/model/rules.rs
@@ -53,6 +53,7 @@
                     self.asked_for_list += 1;
                 }
                 Effect::Probe(_) | Effect::Release(_) | Effect::Handed { .. } => {}
+                Effect::AskDigest => panic!("no digest is followed"),
             }
         }
     }
