--- a/node/src/cli.rs
+++ b/node/src/cli.rs
@@ -16,6 +16,7 @@
   NODE_CONFIG=/run/balancer/config.json sablerun
   NODE_CONFIG=config.json sablerun run --config deploy/gateway.toml --log json
   NODE_CONFIG=config.json sablerun check --config deploy/keys.toml
+  sablerun digest --config deploy/digest.toml
   sablerun keys /var/lib/sablerun/keys.snapshot --json
   sablerun jobs verify /var/lib/sablerun/jobs
 
@@ -37,6 +38,8 @@
     Run(Run),
     /// Check the settings ($NODE_CONFIG) and the operator's file, and end.
     Check(Check),
+    /// Publish a load digest for many dispatchers: on a control machine, where the installation has one.
+    Digest(Digest),
     /// Show what a snapshot of the keys holds.
     Keys(Keys),
     /// Look at a store of durable jobs, and retry dead ones, while no dispatcher has it open.
@@ -53,6 +56,16 @@
     pub log: Log,
 }
 
+#[derive(Clone, Debug, Args)]
+pub struct Digest {
+    /// The publisher's file (TOML).
+    #[arg(long, short, value_name = "FILE")]
+    pub config: PathBuf,
+    /// The form of the log on standard error; RUST_LOG sets its level.
+    #[arg(long, value_enum, default_value_t = Log::Text)]
+    pub log: Log,
+}
+
 #[derive(Debug, Args)]
 pub struct Check {
     /// The operator's file (TOML).
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -23,5 +23,6 @@
 pub mod logging;
 pub mod net;
 pub mod operator;
+pub mod publisher;
 pub mod runtime;
 pub mod snapshots;
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -14,7 +14,7 @@
 use sablerun_node::net::platform::ending::Ending;
 use sablerun_node::operator::Operator;
 use sablerun_node::runtime::Clock;
-use sablerun_node::{assembly, bans, cli, jobs_cli, logging, net, snapshots};
+use sablerun_node::{assembly, bans, cli, jobs_cli, logging, net, publisher, snapshots};
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::rc::Rc;
@@ -26,13 +26,11 @@
     let done = match cli.command.unwrap_or(Command::Run(cli.run)) {
         Command::Run(args) => {
             logging::start(args.log);
-            return match actix_rt::System::new().block_on(run(args.config)) {
-                Ok(()) => ExitCode::SUCCESS,
-                Err(message) => {
-                    log::error!("{message}");
-                    ExitCode::FAILURE
-                }
-            };
+            return to_the_end(run(args.config));
+        }
+        Command::Digest(args) => {
+            logging::start(args.log);
+            return to_the_end(async { publisher::run(publisher::Config::read(&args.config)?).await });
         }
         Command::Check(args) => check(&args),
         Command::Keys(args) => cli::keys(&args),
@@ -47,6 +45,17 @@
     }
 }
 
+/// Serves until the program is told to end, or can't.
+fn to_the_end(service: impl Future<Output = Result<(), String>>) -> ExitCode {
+    match actix_rt::System::new().block_on(service) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(message) => {
+            log::error!("{message}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
 /// Whether the program would start with these settings and this operator's file.
 fn check(args: &cli::Check) -> Result<(), String> {
     let operator = args.config.as_deref().map(|path| Ok::<_, String>((path, Operator::read(path)?)));
--- /dev/null
+++ b/node/src/publisher/config.rs
@@ -0,0 +1,79 @@
+//! The publisher's file (deploy/digest.toml). It owns its form, defaults and errors.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::Duration;
+
+/// What the file says.
+#[derive(Clone, Debug, serde::Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Config {
+    /// Where followers come.
+    pub listen: SocketAddr,
+    /// Where the list of runners is asked for.
+    pub discovery: SocketAddr,
+    /// Each runner is asked, and a frame goes out, once in this time.
+    #[serde(default = "second")]
+    pub every_ms: u64,
+    /// What a follower is told a second, in bytes; names and the whole at its start come on top.
+    #[serde(default = "bytes")]
+    pub bytes_per_s: usize,
+    /// The figures that are told, by the names under which runners report them.
+    #[serde(default = "fields")]
+    pub fields: Vec<String>,
+}
+
+fn second() -> u64 {
+    1000
+}
+
+fn bytes() -> usize {
+    4000
+}
+
+fn fields() -> Vec<String> {
+    ["outstanding", "x0", "recent_ms", "errors_per_s"].map(str::to_owned).to_vec()
+}
+
+impl Config {
+    /// Reads the file.
+    ///
+    /// # Errors
+    ///
+    /// Names the file and the key at fault.
+    pub fn read(path: &Path) -> Result<Config, String> {
+        let text = std::fs::read_to_string(path).map_err(|e| e.to_string());
+        text.and_then(|text| Config::parse(&text)).map_err(|e| format!("{}: {e}", path.display()))
+    }
+
+    /// The same from the file's text.
+    ///
+    /// # Errors
+    ///
+    /// Names the key at fault.
+    pub fn parse(text: &str) -> Result<Config, String> {
+        let toml = toml::Deserializer::parse(text).map_err(|e| e.message().replace('\n', " "))?;
+        let config: Config = serde_path_to_error::deserialize(toml)
+            .map_err(|e| format!("{}: {}", e.path(), e.inner().message().replace('\n', " ")))?;
+        if !(100..=60_000).contains(&config.every_ms) {
+            return Err("every_ms: from 100 to 60000".to_owned());
+        }
+        if !(100..=1_000_000).contains(&config.bytes_per_s) {
+            return Err("bytes_per_s: from 100 to 1000000".to_owned());
+        }
+        if config.fields.is_empty() || config.fields.len() > 15 {
+            return Err("fields: from 1 to 15 of them".to_owned());
+        }
+        Ok(config)
+    }
+
+    /// Time between two frames.
+    pub fn every(&self) -> Duration {
+        Duration::from_millis(self.every_ms)
+    }
+
+    /// The longest frame, in bytes.
+    pub fn frame_bytes(&self) -> usize {
+        self.bytes_per_s * self.every_ms as usize / 1000
+    }
+}
