--- /dev/null
+++ b/stand-ins/src/scripted/program.rs
@@ -0,0 +1,169 @@
+//! The program started for a test: its files, its settings, its log and its end. It owns the process.
+
+use super::{Discovery, Events};
+use crate::installation::{Class, Group};
+use crate::program::{program, settings_of};
+use command_fds::{CommandFdExt, FdMapping};
+use serde_json::{Value, json};
+use std::io::{BufRead, BufReader};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::thread;
+
+/// The settings of most tests: one dispatcher, four classes, of which the last two are keyed.
+pub fn settings() -> Value {
+    let class = |name: &str, worth, deadline_ms, group, window_ms| Class {
+        name: name.to_owned(),
+        rate_per_s: 0.0,
+        work_ms: [0.0; 2],
+        slots: 1,
+        objective_ms: 1000,
+        deadline_ms,
+        worth,
+        group,
+        window_ms,
+    };
+    let classes = [
+        class("pick-route", 2.0, 5000, None, 5000),
+        class("bin-check", 1.0, 5000, None, 5000),
+        class("wave-release", 10.0, 6000, Some(Group::Zone), 10_000),
+        class("short-pick", 3.0, 6000, Some(Group::All), 10_000),
+    ];
+    let mut settings = settings_of(&classes, &["hall-a", "hall-b", "hall-c"], "hall-a");
+    for project in settings["projects"].as_array_mut().into_iter().flatten() {
+        project["quotaPerS"] = json!(5000.0);
+    }
+    settings["extra"]["classStretch"] = json!([2.0, 2.0, 1.75, 1.75]);
+    settings
+}
+
+/// The operator's file of most tests.
+pub const GATEWAY: &str = r#"
+listen = "127.0.0.1:0"
+plaintext = true
+member = "ravi-supply"
+zone = "hall-a"
+kind = "k4-full"
+fetch_wait_ms = 200
+
+[[route]]
+queue = "routes"
+class = "pick-route"
+
+[[route]]
+queue = "waves"
+class = "wave-release"
+
+[[route]]
+queue = "picks"
+jobtype = "ShortPick"
+class = "short-pick"
+"#;
+
+/// A folder for one test's files.
+pub fn folder() -> PathBuf {
+    static NEXT: AtomicU64 = AtomicU64::new(0);
+    let number = NEXT.fetch_add(1, Ordering::Relaxed);
+    let own = std::env::current_exe().unwrap();
+    let folder = own.with_file_name("tmp").join(format!("{}-{number}", std::process::id()));
+    std::fs::create_dir_all(&folder).unwrap();
+    folder
+}
+
+/// The program, started.
+pub struct Program {
+    pub child: Child,
+    pub at: SocketAddr,
+    pub faktory: Option<SocketAddr>,
+    pub log: Events,
+    /// The file of its configuration, and its `$TMPDIR`.
+    pub config: PathBuf,
+    pub folder: PathBuf,
+}
+
+impl Program {
+    pub fn command(config: &Value, gateway: Option<&str>) -> Command {
+        let folder = folder();
+        std::fs::write(folder.join("config.json"), config.to_string()).unwrap();
+        let mut command = Command::new(program().unwrap());
+        command.env("NODE_CONFIG", folder.join("config.json")).env("RUST_LOG", "debug");
+        // Private, as the platform's is: what a process keeps there is for its successor alone.
+        command.env("TMPDIR", &folder);
+        command.stderr(Stdio::piped()).stdout(Stdio::null()).stdin(Stdio::null());
+        if let Some(text) = gateway {
+            std::fs::write(folder.join("gateway.toml"), text).unwrap();
+            command.arg("--gateway").arg(folder.join("gateway.toml"));
+        }
+        command
+    }
+
+    /// A command for a process on a clients' socket that the caller holds, as the platform does; with the
+    /// `$TMPDIR` of a process that it replaces, where one is named.
+    pub fn command_on(config: &Value, socket: &std::net::TcpListener, replaces: Option<&Program>) -> Command {
+        let mut command = Program::command(config, None);
+        if let Some(old) = replaces {
+            command.env("TMPDIR", &old.folder);
+        }
+        let parent_fd = socket.try_clone().unwrap().into();
+        command.fd_mappings(vec![FdMapping { parent_fd, child_fd: 5 }]).unwrap();
+        command.env("NODE_LISTEN_FD", "5");
+        command
+    }
+
+    pub fn config(discovery: SocketAddr, settings: Value) -> Value {
+        json!({"name": "n0", "listen": "127.0.0.1:0", "discovery": discovery.to_string(),
+               "seed": "8c1f30d27a5be964", "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+               "known": {"seq": 0, "whole": true, "hosts": []}, "settings": settings, "unknown": 1})
+    }
+
+    /// Starts it and waits until it is ready and has heard from discovery.
+    pub fn start(discovery: &Discovery, settings: Value, gateway: Option<&str>) -> Program {
+        Program::start_with(Program::config(discovery.at, settings), gateway)
+    }
+
+    pub fn start_with(config: Value, gateway: Option<&str>) -> Program {
+        let command = Program::command(&config, gateway);
+        Program::spawn(command, gateway.is_some_and(|text| text.contains("listen")))
+    }
+
+    /// Starts a command that was made ready, and waits likewise.
+    pub fn spawn(mut command: Command, faktory: bool) -> Program {
+        let told = |what: &str| {
+            let told = command.get_envs().find(|(name, _)| *name == what).unwrap().1.unwrap();
+            PathBuf::from(told)
+        };
+        let (config, folder) = (told("NODE_CONFIG"), told("TMPDIR"));
+        let mut child = command.spawn().unwrap();
+        let (log, lines) = (Events::default(), BufReader::new(child.stderr.take().unwrap()));
+        let told = log.clone();
+        thread::spawn(move || lines.lines().map_while(Result::ok).for_each(|line| told.push(line)));
+        let after = |line: String, word: &str| {
+            let rest = line.split_once(word).unwrap().1;
+            rest.split([' ', ',']).next().unwrap().parse::<SocketAddr>().unwrap()
+        };
+        let at = after(log.wait("ready on ", 1), "ready on ");
+        let faktory = faktory.then(|| after(log.wait("faktory on ", 1), "faktory on "));
+        log.wait("list Full", 1);
+        Program { child, at, faktory, log, config, folder }
+    }
+
+    /// Where its operators' door is.
+    pub fn door(&self) -> SocketAddr {
+        let line = self.log.wait("operators' door on ", 1);
+        line.split_once("operators' door on ").unwrap().1.trim().parse().unwrap()
+    }
+
+    pub fn signal(&self, name: &str) {
+        let id = self.child.id().to_string();
+        assert!(Command::new("/bin/kill").args(["-s", name, &id]).status().unwrap().success());
+    }
+}
+
+impl Drop for Program {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
