A list from before the start sends nothing; a refusal brings none back that has run out

Change: `Settings::saved_within`, none on sockets, what the simulator's rules allow in the simulator (unchanged there). The saved list still gives the version to ask from. A refused connection no longer revives a list that has run out: what can't be had now may have been to be had before.

Tests, each seen red without its half and green with it: one_clock.rs `a_list_from_before_the_start_sends_nothing` (red without `saved_within` and without the refusal's bound), `a_list_for_which_nothing_vouches_...` (the same, now also from a start), and on sockets lists.rs `nothing_is_sent_by_the_list_from_before_the_start` (red: "by s-0").

--- a/benchlink/src/host.rs
+++ b/benchlink/src/host.rs
@@ -17,6 +17,7 @@
         let (mut settings, tables) = env.settle().map_err(|e| format!("PROVISION.env: {e}"))?;
         // The simulator's own clock: four times the time for asking, anew from each call that fails.
         settings.lost_within = sr::Span(settings.ask_within.0.saturating_mul(4));
+        settings.saved_within = settings.lost_within;
         let balancer = sr::Balancer::new(settings, seed, now).map_err(|e| format!("PROVISION.env: {e}"))?;
         Ok(Instance { balancer, tables })
     }
--- a/lab/src/scripted.rs
+++ b/lab/src/scripted.rs
@@ -173,7 +173,12 @@
     }
 
     /// Starts a command that was made ready, and waits likewise.
-    pub fn spawn(mut command: Command, faktory: bool) -> Program {
+    pub fn spawn(command: Command, faktory: bool) -> Program {
+        Program::spawn_until(command, faktory, "list Full")
+    }
+
+    /// The same, and waits for another word of its log than of its first list.
+    pub fn spawn_until(mut command: Command, faktory: bool, word: &str) -> Program {
         let told = |what: &str| {
             let told = command.get_envs().find(|(name, _)| *name == what).unwrap().1.unwrap();
             PathBuf::from(told)
@@ -189,7 +194,7 @@
         };
         let at = after(log.wait("ready on ", 1), "ready on ");
         let faktory = faktory.then(|| after(log.wait("faktory on ", 1), "faktory on "));
-        log.wait("list Full", 1);
+        log.wait(word, 1);
         Program { child, at, faktory, log, config, folder }
     }
 
--- a/node/tests/lists.rs
+++ b/node/tests/lists.rs
@@ -49,6 +49,27 @@
     assert_eq!(old.seen.count("POST"), 0);
 }
 
+/// What was told while the program was not there is not in the list that it starts with, and binds all the same:
+/// while calls fail all are refused, and the first that is served went by what discovery tells.
+#[test]
+fn nothing_is_sent_by_the_list_from_before_the_start() {
+    let (old, new) = (Runner::start("s-0"), Runner::start("s-1"));
+    let hosts = vec![host("s-1", new.at, "hall-a", "active")];
+    let discovery = Discovery::planned(hosts, &[Planned::Busy, Planned::Busy, Planned::Busy, Planned::Busy]);
+    let mut config = Program::config(discovery.at, settings());
+    config["known"]["hosts"] = json!([host("s-0", old.at, "hall-a", "active")]);
+    let program = Program::spawn_until(Program::command(&config, None), false, "watch failed");
+    old.call_back_to(&program);
+    new.call_back_to(&program);
+    let served = loop {
+        let told = call(program.at, &api("pick-route", &new_id(), "5000m", ""), "x");
+        if told.status != 503 {
+            break told;
+        }
+    };
+    assert_eq!((served.body.as_str(), old.seen.count("POST")), ("by s-1", 0));
+}
+
 /// Discovery that moves under load: the new address is asked at once and for the whole list, what is
 /// known holds until it tells something, and the end of the old watch changes nothing any more.
 #[test]
--- a/node/tests/model/world.rs
+++ b/node/tests/model/world.rs
@@ -112,6 +112,8 @@
         let mut world = World { core, now, asked, tried, standing, roster, asked_for_list, stop, settled };
         let all = (0..4).map(|runner| listed(runner, sr::Standing::Ready)).collect();
         world.input(Input::List(Source::Discovery, sr::ListKind::Saved, all), None);
+        // A saved list sends nothing until discovery has told what has changed since.
+        world.input(Input::List(Source::Discovery, sr::ListKind::Delta, Vec::new()), None);
         world
     }
 }
--- a/settings/src/settle.rs
+++ b/settings/src/settle.rs
@@ -17,7 +17,7 @@
         let kinds = Names::of(&env.kinds);
         let classes = env.services.iter().enumerate();
         let ask_within = env.rules.ask_within.map_or(sr::Settings::default().ask_within, sr::Span);
-        let sr::Settings { told_within, lost_within, .. } = sr::Settings::default();
+        let sr::Settings { told_within, lost_within, saved_within, .. } = sr::Settings::default();
         let settings = sr::Settings {
             dispatchers: env.balancers,
             number: env.me,
@@ -72,8 +72,9 @@
             max_hold_off: sr::Span(if env.limits.retry_after { env.limits.max_retry_after } else { 0 }),
             drain_grace: sr::Span(env.rules.drain_grace),
             ask_within,
-            // A figure of the protocol, which no setting carries.
+            // Figures of the protocol, which no setting carries.
             told_within,
+            saved_within,
             // Without a watch it may be less: the list holds for the time between two calls, less some room.
             lost_within: lost_within.min(sr::Span(ask_within.0.saturating_sub(200_000_000))),
             drain_binds_alone: env.rules.drain_binds_alone,
--- a/src/balance/line.rs
+++ b/src/balance/line.rs
@@ -101,8 +101,7 @@
                 }
             }
         }
-        if !self.held.is_empty() && !self.pumping {
-            self.pumping = true;
+        if !self.held.is_empty() && !std::mem::replace(&mut self.pumping, true) {
             let wait = Span(10_000_000 * (1 + self.workers.len() as u64 / 16));
             self.out.push(Action::Timer(self.now + self.settings.tick.max(wait), PUMP));
         }
--- a/src/balance/list.rs
+++ b/src/balance/list.rs
@@ -45,22 +45,23 @@
             (w.listed, w.drained, w.returned) = (true, held || drains, w.returned || back);
             self.entries[i] = entry;
         }
-        (self.list_backoff, self.blind) = (0.0, self.blind.filter(|_| kind == ListKind::Saved));
+        let saved = self.blind.filter(|_| kind == ListKind::Saved);
+        (self.list_backoff, self.blind) = (0.0, saved.map(|_| self.now + self.settings.saved_within));
     }
 
-    /// Asks again in part of the time for which the list holds; then rarely, lest all calls wait in vain.
+    /// Asks again while the list holds, then rarely; a refusal begins that time anew unless it has run out.
     pub(super) fn lost(&mut self, event: &Event) {
         let Settings { discovery: how, told_within, lost_within, .. } = self.settings;
         let within = if *event == Event::ListSilent { told_within } else { lost_within };
         let (within, late) = if how == Discovery::Agent { (Span(0), 0.5) } else { (within, 2.0) };
-        let told = self.blind.filter(|_| *event != Event::ListAway).unwrap_or(self.now + within);
+        let held = self.blind.filter(|told| *event != Event::ListAway || *told <= self.now);
+        let told = held.unwrap_or(self.now + within);
         self.blind = (how != Discovery::Pushed).then_some(told);
-        let asks = self.blind.is_some() && *event != Event::ListMoved;
-        if asks && !std::mem::replace(&mut self.subscribing, true) {
+        if how != Discovery::Pushed && *event != Event::ListMoved && !self.subscribing {
             let (left, back) = ((told - self.now).secs(), self.list_backoff.max(0.2));
             let most = if left > 0.0 { back.max(left / 3.0) } else { back * late };
             let wait = Span::from_secs((back.min(1.0) * self.crowd()).min(most) * self.rng.f64());
-            self.list_backoff = (back * 2.0).min(4.0);
+            (self.subscribing, self.list_backoff) = (true, (back * 2.0).min(4.0));
             self.out.push(Action::Timer(self.now + wait, SUBSCRIBE));
         }
     }
--- a/src/interface/settings.rs
+++ b/src/interface/settings.rs
@@ -153,8 +153,11 @@
     /// From [`Event::ListSilent`] on, the time after which what the watch can't tell counts as told: 6 s
     /// after its last sign of life by the protocol, less the 2.5 s after which it counts as silent and some room.
     pub told_within: Span,
-    /// The same from the start, and from any other loss of the watch on: it is noticed at once.
+    /// The same from any other loss of the watch on: it is noticed at once.
     pub lost_within: Span,
+    /// How long from the start a saved list may be used where lists are asked for. The sockets' protocol does not
+    /// tell how old it is, so that it may have missed any change: none there. The simulator's rules allow more.
+    pub saved_within: Span,
     /// Only an entry that says draining binds; one that is gone or left out may still be sent to.
     pub drain_binds_alone: bool,
     /// A worker starts at this share of its capacity or above.
@@ -197,6 +200,7 @@
             ask_within: Span::from_secs(10.0),
             told_within: Span::from_secs(3.3),
             lost_within: Span::from_secs(5.8),
+            saved_within: Span(0),
             drain_binds_alone: false,
             cold_from: 0.1,
             warm_after: Span::from_secs(30.0),
--- a/tests/one_clock.rs
+++ b/tests/one_clock.rs
@@ -56,19 +56,28 @@
     world.log.iter().filter(|(_, action)| *action == Action::Subscribe).count()
 }
 
-/// Loses the watch at once, answers each call as planned and then well, and offers requests all the while: the
-/// times of the sends, with the last moment for which the list was vouched then, and when the list was back.
-fn play(fleet: u32, seed: u64, loss: Event, plan: &[Call]) -> (Vec<(Time, Time)>, Time) {
+/// Loses the watch at once, or starts with a saved list, answers each call as planned and then well, and offers
+/// requests all the while: the times of the sends, with the last moment for which the list was vouched then, and
+/// when the list was back.
+fn play(fleet: u32, seed: u64, loss: Option<Event>, plan: &[Call]) -> (Vec<(Time, Time)>, Time) {
     let number = seed as u32 % fleet;
     let settings = Settings { discovery: Discovery::Asked, dispatchers: fleet, number, ..settings() };
     let mut world = World::new(settings, seed);
-    world.list(ListKind::Full, vec![worker(0)]);
+    if loss.is_some() {
+        world.list(ListKind::Full, vec![worker(0)]);
+    }
     world.pass(ms(8000));
     let (mut vouched, mut made, mut plan) = (world.now, calls(&world), plan.iter());
-    if loss == Event::ListSilent {
-        world.pass(SILENT);
+    match loss {
+        Some(Event::ListSilent) => world.pass(SILENT),
+        Some(_) => {}
+        // How old the list is, nothing tells: as old as can be.
+        None => {
+            vouched = Time(0);
+            world.list(ListKind::Saved, vec![worker(0)]);
+        }
     }
-    world.event(loss);
+    loss.into_iter().for_each(|loss| world.event(loss));
     let (mut news, mut sends, mut seen, mut n) = (Vec::<Told>::new(), Vec::new(), world.log.len(), 0);
     let (mut well, end) = (None, world.now + ms(40_000));
     while world.now.0 < end.0 && well.is_none_or(|at: Time| world.now.0 < at.0 + ms(1000).0) {
@@ -93,8 +102,11 @@
         made = calls(&world);
         news.sort_by_key(|(at, ..)| at.0);
         while news.first().is_some_and(|(at, ..)| at.0 <= world.now.0) {
-            let (_, event, until) = news.remove(0);
-            vouched = vouched.max(until);
+            let (at, event, until) = news.remove(0);
+            // A refusal shows that there was nothing to be had just now, not what there was before.
+            if event != Event::ListAway || at.0 <= vouched.0 + TOLD.0 {
+                vouched = vouched.max(until);
+            }
             world.event(event);
         }
     }
@@ -102,8 +114,8 @@
     (sends, well.expect("a call is answered well in the end"))
 }
 
-/// Whatever fails, and whenever: nobody is sent to by a list for which nothing has vouched for 6 s, and as soon as
-/// one call is answered all is as before.
+/// Whatever fails, and whenever: nobody is sent to by a list for which nothing has vouched for 6 s, nor by one from
+/// before the start, and as soon as one call is answered all is as before.
 #[test]
 fn a_list_for_which_nothing_vouches_is_used_no_longer_than_the_clock_allows() {
     let (mut seed, mut cases) = (0, Vec::new());
@@ -113,7 +125,7 @@
         }
     }
     for plan in cases {
-        for loss in [Event::ListFailed, Event::ListSilent] {
+        for loss in [None, Some(Event::ListFailed), Some(Event::ListSilent)] {
             for fleet in [1, 300] {
                 seed += 1;
                 let (sends, well) = play(fleet, seed, loss.clone(), &plan);
@@ -133,7 +145,7 @@
         for call in FAILING {
             for loss in [Event::ListFailed, Event::ListSilent] {
                 for fleet in [1, 40, 300] {
-                    let (sends, _) = play(fleet, seed, loss.clone(), &[call]);
+                    let (sends, _) = play(fleet, seed, Some(loss.clone()), &[call]);
                     let gap = sends.windows(2).map(|pair| (pair[1].0 - pair[0].0).0).max();
                     assert!(gap < Some(ms(400).0), "of {fleet}, after {loss:?} and {call:?}: {gap:?}");
                 }
@@ -142,21 +154,27 @@
     }
 }
 
-/// A list that was known before the start vouches for no more than one from before a loss.
+/// A list from before the start may have missed any change, also one that was made long before: nobody is sent to by
+/// it for however long discovery tells nothing, and the requests that can wait for it are sent by its first list.
 #[test]
-fn a_list_from_before_the_start_is_held_to_the_same_clock() {
+fn a_list_from_before_the_start_sends_nothing() {
     for (fleet, seed) in [(1, 1), (300, 2)] {
-        let settings = Settings { discovery: Discovery::Asked, dispatchers: fleet, ..settings() };
-        let mut world = World::new(settings, seed);
-        world.list(ListKind::Saved, vec![worker(0)]);
-        let start = world.now;
-        while world.now.0 < start.0 + ms(9000).0 {
-            world.arrive((world.now - start).0 as u32 / ms(100).0 as u32, 0);
-            serve(&mut world, ms(100));
+        for news in [None, Some(Event::ListFailed), Some(Event::ListAway)] {
+            let settings = Settings { discovery: Discovery::Asked, dispatchers: fleet, ..settings() };
+            let mut world = World::new(settings, seed);
+            world.list(ListKind::Saved, vec![worker(0)]);
+            for n in 0..90 {
+                world.arrive(n, 0);
+                serve(&mut world, ms(100));
+                news.iter().for_each(|news| world.event(news.clone()));
+            }
+            assert!(world.sends().is_empty(), "of {fleet}, {news:?}: sent by an old list");
+            assert!(calls(&world) > 0, "of {fleet}: discovery is asked");
+            world.arrive(90, 0);
+            world.list(ListKind::Delta, Vec::new());
+            world.pass(ms(20));
+            assert!(!world.sends().is_empty(), "of {fleet}: the list is vouched for");
+            assert!(world.broken.is_empty(), "{:?}", world.broken);
         }
-        let sends = world.log.iter().filter(|(_, action)| matches!(action, Action::Send(..)));
-        let sent: Vec<Time> = sends.map(|(at, _)| *at).collect();
-        assert!(sent.iter().any(|at| at.0 > start.0 + ms(5000).0), "of {fleet}: the list holds at first");
-        assert!(sent.iter().all(|at| at.0 <= start.0 + TOLD.0), "of {fleet}: sent by an old list");
     }
 }
--- a/tests/silence.rs
+++ b/tests/silence.rs
@@ -6,10 +6,12 @@
 use common::*;
 use sablerun::*;
 
-/// The list is asked for where it must be, again after a failure, and the old list stays in use.
+/// The list is asked for where it must be, again after a failure, and the old list stays in use where the rules
+/// let a saved one be used, as the simulator's do.
 #[test]
 fn a_failed_list_call_is_made_again_and_the_old_list_kept() {
-    let mut world = World::new(Settings { discovery: Discovery::Asked, ..settings() }, 10);
+    let saved_within = Span::from_secs(5.8);
+    let mut world = World::new(Settings { discovery: Discovery::Asked, saved_within, ..settings() }, 10);
     world.list(ListKind::Saved, vec![worker(0)]);
     world.pass(ms(500));
     let calls = |w: &World| w.log.iter().filter(|(_, a)| *a == Action::Subscribe).count();
