Scale run: its file, processes, window, changes, faults, figures, fits and charts

Sizes of 0, negative rates, unknown keys and what the machine does not bear are turned down before anything starts, by key and with the number that would do. Memory, processor time and descriptors come from procfs, straight lines are least squares by hand, charts have a panel for each slope. Real dispatchers get their whole configuration and a SIGHUP (rustix, since unsafe code is denied here).

Tests of the file, the layout, the machine's limits, delays and lines pass; no point has been played yet, for the parts of discovery, dispatchers and clients are still stubs here.

--- a/lab/src/fleet.rs
+++ b/lab/src/fleet.rs
@@ -25,6 +25,8 @@
     pub epoch: AtomicU64,
     command: PathBuf,
     folder: PathBuf,
+    /// What it logs, as `RUST_LOG` says it.
+    logged: String,
     child: Mutex<Option<Child>>,
 }
 
@@ -45,15 +47,26 @@
     ///
     /// If no address is free or its folder can't be made.
     pub fn plan(command: &Path, folder: &Path, number: usize) -> Result<Dispatcher, String> {
+        let at = free_port().map_err(|e| e.to_string())?;
+        Dispatcher::at_address(command, folder, number, at, "info")
+    }
+
+    /// The same with an address that was chosen before, and what it shall log.
+    ///
+    /// # Errors
+    ///
+    /// If its folder can't be made.
+    pub fn at_address(
+        command: &Path,
+        folder: &Path,
+        number: usize,
+        at: SocketAddr,
+        logged: &str,
+    ) -> Result<Dispatcher, String> {
         let folder = folder.join(format!("n{number}"));
         std::fs::create_dir_all(&folder).map_err(|e| format!("{}: {e}", folder.display()))?;
-        Ok(Dispatcher {
-            at: free_port().map_err(|e| e.to_string())?,
-            epoch: AtomicU64::new(0),
-            command: command.to_owned(),
-            folder,
-            child: Mutex::new(None),
-        })
+        let (command, logged) = (command.to_owned(), logged.to_owned());
+        Ok(Dispatcher { at, epoch: AtomicU64::new(0), command, folder, logged, child: Mutex::new(None) })
     }
 
     /// Writes its files and starts it.
@@ -65,22 +78,68 @@
         let config = json!({"name": self.folder.file_name().and_then(|n| n.to_str()), "listen": self.at.to_string(),
             "discovery": discovery.to_string(), "seed": "8c1f30d27a5be964",
             "limits": {"cores": 1.0, "memory_mb": 512, "sockets": 4096}, "settings": settings});
-        let write = |name: &str, text: String| {
-            let path = self.folder.join(name);
-            std::fs::write(&path, text).map_err(|e| format!("{}: {e}", path.display()))
-        };
-        write("config.json", config.to_string())?;
-        write("operator.toml", operator.replace("@FOLDER@", &self.folder.display().to_string()))?;
+        self.launch(&config, operator).await
+    }
+
+    /// The same with the whole of its configuration.
+    ///
+    /// # Errors
+    ///
+    /// As above.
+    pub async fn launch(&self, config: &Value, operator: &str) -> Result<(), String> {
+        self.configure(config)?;
+        self.write("operator.toml", &operator.replace("@FOLDER@", &self.folder.display().to_string()))?;
         self.spawn().await
     }
 
+    /// Writes its configuration, which it reads at its start and at a SIGHUP.
+    ///
+    /// # Errors
+    ///
+    /// Names the file.
+    pub fn configure(&self, config: &Value) -> Result<(), String> {
+        self.write("config.json", &config.to_string())
+    }
+
+    /// Whole or not at all: the program may read at any moment.
+    fn write(&self, name: &str, text: &str) -> Result<(), String> {
+        let (path, new) = (self.folder.join(name), self.folder.join(format!("{name}.new")));
+        let written = std::fs::write(&new, text).and_then(|()| std::fs::rename(&new, &path));
+        written.map_err(|e| format!("{}: {e}", path.display()))
+    }
+
+    /// Sends it a SIGHUP, at which it reads its configuration.
+    pub async fn hang_up(&self) {
+        let id = self.id().await.and_then(|id| rustix::process::Pid::from_raw(id as i32));
+        if let Some(id) = id {
+            // One that has just ended is told of elsewhere.
+            let _ = rustix::process::kill_process(id, rustix::process::Signal::HUP);
+        }
+    }
+
+    /// Its process, while there is one.
+    pub async fn id(&self) -> Option<u32> {
+        self.child.lock().await.as_ref()?.id()
+    }
+
+    /// How it ended, if it did without being stopped.
+    pub async fn ended(&self) -> Option<String> {
+        let status = self.child.lock().await.as_mut()?.try_wait().ok()??;
+        Some(format!("{status}; see {}", self.folder.join("log").display()))
+    }
+
+    /// Its log so far.
+    pub fn log(&self) -> String {
+        std::fs::read_to_string(self.folder.join("log")).unwrap_or_default()
+    }
+
     async fn spawn(&self) -> Result<(), String> {
         let log = self.folder.join("log");
         let file = File::options().create(true).append(true).open(&log);
         let file = file.map_err(|e| format!("{}: {e}", log.display()))?;
         let mut command = Command::new(&self.command);
         command.arg("run").arg("--config").arg(self.folder.join("operator.toml"));
-        command.env("NODE_CONFIG", self.folder.join("config.json")).env("RUST_LOG", "info");
+        command.env("NODE_CONFIG", self.folder.join("config.json")).env("RUST_LOG", &self.logged);
         command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(file).kill_on_drop(true);
         let child = command.spawn().map_err(|e| format!("{}: {e}", self.command.display()))?;
         *self.child.lock().await = Some(child);
@@ -136,7 +195,6 @@
 
     /// The last line of its log that holds a word.
     pub fn logged(&self, word: &str) -> Option<String> {
-        let text = std::fs::read_to_string(self.folder.join("log")).ok()?;
-        text.lines().rev().find(|line| line.contains(word)).map(str::to_owned)
+        self.log().lines().rev().find(|line| line.contains(word)).map(str::to_owned)
     }
 }
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod chart;
 pub mod clients;
 pub mod experiment;
+pub mod file;
 pub mod fleet;
 pub mod play;
 pub mod scale;
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -1,11 +1,12 @@
 //! `sablerun-lab`: plays experiments on stand-ins, checks what they must show, and draws what was kept.
 
 use clap::{Parser, Subcommand};
-use indicatif::{ProgressBar, ProgressStyle};
 use sablerun_lab::census::Census;
 use sablerun_lab::chart::Kept;
-use sablerun_lab::experiment::Experiment;
-use sablerun_lab::play::{Figures, Judged, judge, play};
+use sablerun_lab::file::File;
+use sablerun_lab::play::{Figures, Judged, judge};
+use sablerun_lab::scale::report;
+use sablerun_lab::scale::session::{Asked, size};
 use sablerun_lab::scale::{part_clients, part_discovery, part_dispatchers, part_runners};
 use serde_json::json;
 use std::path::{Path, PathBuf};
@@ -14,6 +15,8 @@
 const EXAMPLES: &str = "\
 Examples:
   sablerun-lab check idempotency
+  sablerun-lab check scale --size 1/32
+  sablerun-lab run experiments/scale.toml --point all-125
   sablerun-lab check idempotency --switch-off keys     (must fail: the check can)
   sablerun-lab run experiments/idempotency.toml --out results/idempotency
   sablerun-lab chart results/idempotency
@@ -79,16 +82,32 @@
     /// Leave these sections out of the dispatchers' operator's files.
     #[arg(long, value_name = "SECTION")]
     switch_off: Vec<String>,
+    /// Multiply the sizes of a scale run, e.g. 1/32.
+    #[arg(long, value_parser = size)]
+    size: Option<f64>,
+    /// In place of the file's.
+    #[arg(long)]
+    seed: Option<u64>,
+    /// Play only these points of a scale run.
+    #[arg(long, value_name = "NAME")]
+    point: Vec<String>,
     /// Print one JSON object.
     #[arg(long)]
     json: bool,
 }
 
+impl How {
+    fn asked(&self, check: bool) -> Asked {
+        let (points, switch_off) = (self.point.clone(), self.switch_off.clone());
+        Asked { size: self.size, seed: self.seed, points, switch_off, check }
+    }
+}
+
 fn main() -> ExitCode {
     let done = match Cli::parse().command {
         Command::Run { file, out, how } => run(&file, out.as_deref(), &how).map(|()| true),
         Command::Check { name, how } => check(&name, &how),
-        Command::Chart { folder } => Kept::read(&folder).and_then(|kept| kept.draw(&folder)).map(|()| true),
+        Command::Chart { folder } => chart(&folder).map(|()| true),
         Command::Count { folder, json } => count(&folder, json).map(|()| true),
         Command::Part { role } => part(role).map(|()| true),
     };
@@ -111,24 +130,6 @@
     }
 }
 
-fn played(experiment: &Experiment, how: &How) -> Result<Figures, String> {
-    let folder = std::env::temp_dir().join(format!("sablerun-lab-{}", std::process::id()));
-    let bar = ProgressBar::new(1000);
-    let style = ProgressStyle::with_template("{msg:>12} [{bar:40}] {percent:>3} %  {elapsed}");
-    bar.set_style(style.unwrap_or_else(|_| ProgressStyle::default_bar()).progress_chars("=> "));
-    let tick = |phase: &str, done: f64| {
-        bar.set_message(phase.to_owned());
-        bar.set_position((done * 1000.0) as u64);
-    };
-    let runtime = tokio::runtime::Runtime::new().map_err(|e| e.to_string())?;
-    let figures = runtime.block_on(play(experiment, &folder, &how.switch_off, tick));
-    bar.finish_and_clear();
-    if figures.is_ok() {
-        let _ = std::fs::remove_dir_all(&folder);
-    }
-    figures
-}
-
 fn count(folder: &Path, json: bool) -> Result<(), String> {
     let census = Census::read(folder)?;
     match json {
@@ -147,21 +148,26 @@
     }
 }
 
-fn run(file: &Path, out: Option<&Path>, how: &How) -> Result<(), String> {
-    let experiment = Experiment::read(file)?;
-    let kept = Kept::now(played(&experiment, how)?);
+fn run(path: &Path, out: Option<&Path>, how: &How) -> Result<(), String> {
+    let file = File::read(path)?;
+    let kept = Kept::now(file.play(&how.asked(false), out)?);
     if how.json {
         println!("{}", serde_json::to_string(&kept).map_err(|e| e.to_string())?);
     } else {
         table(&kept.figures);
     }
-    if let Some(folder) = out {
+    if let (Some(folder), File::Installation(_)) = (out, &file) {
         kept.write(folder)?;
         kept.draw(folder)?;
     }
     Ok(())
 }
 
+fn chart(folder: &Path) -> Result<(), String> {
+    let kept = Kept::read(folder)?;
+    if report::is_scale(&kept) { report::draw(&kept, folder) } else { kept.draw(folder) }
+}
+
 fn check(name: &str, how: &How) -> Result<bool, String> {
     let file = Path::new("experiments").join(name).with_extension("toml");
     if !file.is_file() {
@@ -176,23 +182,23 @@
         };
         return Err(format!("{}: no such experiment; there are: {known}", file.display()));
     }
-    let experiment = Experiment::read(&file)?;
-    let figures = played(&experiment, how)?;
-    let judged = judge(&experiment, &figures);
+    let experiment = File::read(&file)?;
+    let figures = experiment.play(&how.asked(true), None)?;
+    let judged = judge(experiment.bounds(), &figures);
     let holds = judged.iter().all(|bound| bound.holds);
-    let main = figures.values.get(&experiment.main).copied();
+    let main = figures.values.get(experiment.main()).copied();
     if how.json {
         println!(
             "{}",
-            json!({"holds": holds, "bounds": judged, "main": {&experiment.main: main}, "figures": figures})
+            json!({"holds": holds, "bounds": judged, "main": {experiment.main(): main}, "figures": figures})
         );
         return Ok(holds);
     }
-    println!("{}\n", experiment.about);
+    println!("{}\n", experiment.about());
     table(&figures);
     println!();
     judged.iter().for_each(line);
-    println!("\n{} {}", experiment.main, main.map_or("missing".to_owned(), |value| value.to_string()));
+    println!("\n{} {}", experiment.main(), main.map_or("missing".to_owned(), |value| value.to_string()));
     Ok(holds)
 }
 
--- a/lab/src/play.rs
+++ b/lab/src/play.rs
@@ -3,7 +3,7 @@
 //! order of a run and the judging of bounds.
 
 use crate::clients::{Clients, Seen};
-use crate::experiment::{Experiment, Phase};
+use crate::experiment::{Bound, Experiment, Phase};
 use crate::fleet::{Dispatcher, settings};
 use sablerun_stand_ins::discovery::Discovery;
 use sablerun_stand_ins::hall::Halls;
@@ -68,7 +68,11 @@
 }
 
 /// The operator's file without some of its sections.
-fn without(operator: &str, sections: &[String]) -> Result<String, String> {
+///
+/// # Errors
+///
+/// Says why the file is none.
+pub fn without(operator: &str, sections: &[String]) -> Result<String, String> {
     let mut table: toml::Table = toml::from_str(operator).map_err(|e| format!("operator: {e}"))?;
     sections.iter().for_each(|section| {
         table.remove(section);
@@ -158,9 +162,9 @@
     figures.latency.insert(phase.to_owned(), points.map(|at| (at, percentile(at))).to_vec());
 }
 
-/// Holds the figures against the experiment's bounds.
-pub fn judge(experiment: &Experiment, figures: &Figures) -> Vec<Judged> {
-    let judged = experiment.bound.iter().map(|bound| {
+/// Holds the figures against bounds.
+pub fn judge(bounds: &[Bound], figures: &Figures) -> Vec<Judged> {
+    let judged = bounds.iter().map(|bound| {
         let value = figures.values.get(&bound.figure).copied();
         let holds = value.is_some_and(|value| {
             bound.min.is_none_or(|min| value >= min) && bound.max.is_none_or(|max| value <= max)
--- /dev/null
+++ b/lab/tests/scale_figures.rs
@@ -0,0 +1,72 @@
+//! What a scale run makes of its records: lines, delays of changes, sizes as a command says them.
+
+use sablerun_lab::scale::changes::Change;
+use sablerun_lab::scale::delays::{acts_of_log, delays};
+use sablerun_lab::scale::fit::{by_point, line, series};
+use sablerun_lab::scale::session::size;
+use std::collections::BTreeMap;
+
+#[test]
+fn a_line_is_found_and_what_is_none_is_flagged() {
+    let straight = line(&[(1.0, 5.0), (2.0, 7.0), (4.0, 11.0), (8.0, 19.0)]).unwrap();
+    assert!((straight.slope - 2.0).abs() < 1e-9 && (straight.intercept - 3.0).abs() < 1e-9);
+    assert!(straight.r2 > 0.999_999 && straight.residual < 1e-9);
+    assert_eq!(straight.verdict(), "line");
+    assert_eq!(line(&[(1.0, 1.0), (2.0, 9.0), (3.0, 2.0), (4.0, 8.0)]).unwrap().verdict(), "no line");
+    assert_eq!(line(&[(1.0, 10.0), (2.0, 10.4), (3.0, 9.8)]).unwrap().verdict(), "flat");
+    assert!(line(&[(1.0, 1.0), (2.0, 2.0)]).is_none(), "two points are always on a line");
+    assert!(line(&[(1.0, 1.0), (1.0, 2.0), (1.0, 3.0)]).is_none(), "no spread");
+}
+
+#[test]
+fn a_series_holds_its_own_points_and_the_base() {
+    let mut values = BTreeMap::new();
+    for (point, runners, dispatchers) in [
+        ("all-250", 170.0, 75.0),
+        ("all-1000", 680.0, 300.0),
+        ("runners-1000", 680.0, 75.0),
+        ("dispatchers-1000", 170.0, 300.0),
+        ("whole", 680.0, 300.0),
+    ] {
+        values.insert(format!("{point}.size.runners"), runners);
+        values.insert(format!("{point}.size.dispatchers"), dispatchers);
+    }
+    let points = by_point(&values);
+    let of = |quantity: &str| series(&points, quantity).into_iter().map(|(x, _)| x).collect::<Vec<_>>();
+    assert_eq!(of("all"), [170.0, 680.0]);
+    assert_eq!(of("runners"), [170.0, 680.0]);
+    assert_eq!(of("dispatchers"), [75.0, 300.0]);
+}
+
+#[test]
+fn a_real_dispatchers_acts_are_read_out_of_its_log() {
+    let log = "\
+[2026-12-02T05:00:01.250Z DEBUG sablerun_node::net::discovery] list Full 1: 680 entries
+[2026-12-02T05:00:02.000Z DEBUG sablerun_node::net::discovery] list Delta 3: 1 entries
+[2026-12-02T05:00:02.100Z DEBUG sablerun_node::net::discovery] list Delta 9: overtaken
+[2026-12-02T05:00:04.500Z INFO  sablerun_node::config] new settings are in use
+";
+    let second = 1_000_000;
+    let midnight = 1_796_169_600 * second;
+    let at = |s: f64| midnight + 5 * 3600 * second + (s * 1e6) as u64;
+    let change = |what, version, s| Change { what, version, at_us: at(s) };
+    let changes = [change("list", 2, 1.5), change("list", 9, 2.05), change("settings", 1, 3.0)];
+    let acts = acts_of_log(4, log, &changes);
+    assert_eq!(acts.len(), 3);
+    assert_eq!(acts[0].at_us, at(1.25));
+    // Version 3 brings 2; 9 was overtaken, so nobody acted by it.
+    let list = delays(&changes, &acts, "list", &[4]);
+    assert_eq!((list.ms.clone(), list.never), (vec![500.0], 1));
+    let settings = delays(&changes, &acts, "settings", &[4, 5]);
+    assert_eq!((settings.ms.clone(), settings.never), (vec![1500.0], 1));
+    assert_eq!(settings.at(1.0), 1500.0);
+}
+
+#[test]
+fn sizes_are_fractions_or_decimals() {
+    assert_eq!(size("1/32"), Ok(0.03125));
+    assert_eq!(size("0.5"), Ok(0.5));
+    for bad in ["0", "-1", "1/0", "half", "0/4"] {
+        assert!(size(bad).is_err(), "{bad}");
+    }
+}
--- /dev/null
+++ b/lab/tests/scale_plan.rs
@@ -0,0 +1,109 @@
+//! A scale run's file: what it turns down, by key and with what would do, and what a point's numbers are.
+
+use sablerun_lab::scale::layout::layout;
+use sablerun_lab::scale::machine::Machine;
+use sablerun_lab::scale::plan::Plan;
+use std::path::Path;
+
+fn text() -> String {
+    std::fs::read_to_string(Path::new(env!("CARGO_MANIFEST_DIR")).join("../experiments/scale.toml")).unwrap()
+}
+
+fn refused(old: &str, new: &str) -> String {
+    let text = text();
+    assert!(text.contains(old), "the file has {old}");
+    Plan::parse(&text.replacen(old, new, 1)).map(|_| ()).unwrap_err()
+}
+
+#[test]
+fn the_file_of_the_experiment_is_read() {
+    let plan = Plan::parse(&text()).unwrap();
+    let points = plan.points();
+    let named = |name: &str| points.iter().find(|point| point.name == name).unwrap();
+    // All together, and each of five quantities alone, whose base is one of those.
+    assert_eq!(points.iter().filter(|point| point.name.ends_with("-125")).count(), 6);
+    let whole = named("all-1000").numbers(&plan, 1.0);
+    assert_eq!((whole.runners, whole.dispatchers, whole.tenants, whole.running), (680, 300, 300, 13_000));
+    assert_eq!((whole.rate_per_s, whole.real), (200.0, 5));
+    let slots = f64::from(whole.slots) * 680.0;
+    assert!((0.84..=0.91).contains(&(13_000.0 / slots)), "{slots} slots");
+    let alone = named("runners-1000").numbers(&plan, 1.0);
+    assert_eq!((alone.runners, alone.dispatchers, alone.running), (680, 75, 3250));
+    let small = named("whole").numbers(&plan, 1.0 / 32.0);
+    assert_eq!((small.runners, small.dispatchers, small.running), (21, 9, 406));
+    assert_eq!(named("idle").numbers(&plan, 1.0).running, 0);
+}
+
+#[test]
+fn what_makes_no_sense_is_turned_down_by_its_key() {
+    for (old, new, told) in [
+        ("runners = 680", "runners = 0", "whole.runners: 0; more than 0"),
+        ("running = 13000", "running = -5", "whole.running: -5; more than 0"),
+        ("changes = 1.0", "changes = -1.0", "whole.changes: -1; 0 or more"),
+        ("size = 1.0", "size = 0", "size: 0; more than 0"),
+        ("sizes = [0.125,", "sizes = [0,", "sweep.sizes: 0; more than 0"),
+        ("work_mean_s = 65", "work_mean_s = -65", "stream.work_mean_s: -65; more than 0"),
+        ("urgent = 0.05", "urgent = 5", "stream.urgent: 5; from 0 to 1"),
+        ("load = 0.87", "load = 1.87", "site.load: 1.87; from 0 to 1"),
+        ("base = 0.25", "base = 0.3", "sweep.base: 0.3 is none of sweep.sizes"),
+        ("racks = 20", "racks = 3", "site.racks: at least 5, one for each zone"),
+        ("real = \"dozen-real\"", "real = \"none\"", "compare.hollow-to-real: there is no point \"none\""),
+        ("whole.answers.lost", "hole.answers.lost", "hole.answers.lost: of no point"),
+        ("name = \"six\"", "name = \"idle\"", "point.name: \"idle\" is empty, holds a dot, or stands twice"),
+    ] {
+        assert_eq!(refused(old, new), told);
+    }
+    let unknown = refused("tenants = 300", "tennants = 300");
+    assert!(unknown.starts_with("whole") && unknown.contains("tennants"), "{unknown}");
+    let unknown = refused("at_s = 6\n", "at = 6\n");
+    assert!(unknown.starts_with("point[6].fault[1]") && unknown.contains("`at`"), "{unknown}");
+    let late = refused("at_s = 80", "at_s = 180");
+    assert_eq!(late, "point.faults.fault.half.at_s: 180 leaves no time to be back; at most 100");
+}
+
+#[test]
+fn more_than_the_machine_bears_is_turned_down_with_what_would_do() {
+    let plan = Plan::parse(&text()).unwrap();
+    let points = plan.points();
+    let whole = points.iter().find(|point| point.name == "all-1000").unwrap();
+    let numbers = whole.numbers(&plan, 1.0);
+    let large = Machine { memory_mb: 1e6, descriptors: 20_000.0 };
+    assert_eq!(large.bears(&plan, whole, &numbers), Ok(()));
+    let poor = Machine { memory_mb: 800.0, descriptors: 20_000.0 };
+    let told = poor.bears(&plan, whole, &numbers).unwrap_err();
+    assert!(told.starts_with("point.all-1000.size: 1 needs ") && told.ends_with(" would do"), "{told}");
+    let narrow = Machine { memory_mb: 1e6, descriptors: 6000.0 };
+    let told = narrow.bears(&plan, whole, &numbers).unwrap_err();
+    assert!(told.starts_with("point.all-1000.running: 1 needs "), "{told}");
+    // What would do does.
+    let would: f64 = told.rsplit("; ").next().unwrap().trim_end_matches(" would do").parse().unwrap();
+    let mut less = whole.clone();
+    less.set("running", would);
+    assert_eq!(narrow.bears(&plan, &less, &less.numbers(&plan, 1.0)), Ok(()));
+    let tiny = Machine { memory_mb: 1e6, descriptors: 512.0 };
+    let told = tiny.bears(&plan, whole, &numbers).unwrap_err();
+    assert_eq!(told, "point.all-1000.sockets: 4096, a process may hold 512; 512 would do");
+}
+
+#[test]
+fn a_layout_has_each_runner_in_one_rack_of_one_zone() {
+    let plan = Plan::parse(&text()).unwrap();
+    let points = plan.points();
+    let whole = points.iter().find(|point| point.name == "all-1000").unwrap();
+    let numbers = whole.numbers(&plan, 1.0);
+    let layout = layout(&plan, whole, &numbers, 7, Path::new("nowhere")).unwrap();
+    for rack in 0..20 {
+        let own: Vec<_> = layout.runners.iter().filter(|runner| runner.rack == rack).collect();
+        assert_eq!(own.len(), 34);
+        assert!(own.iter().all(|runner| runner.zone == own[0].zone));
+    }
+    let names: std::collections::BTreeSet<_> = layout.runners.iter().map(|runner| &runner.name).collect();
+    assert_eq!(names.len(), 680);
+    let at: std::collections::BTreeSet<_> = layout.dispatchers.iter().map(|d| d.listen).collect();
+    assert_eq!(at.len(), 300);
+    let share: f64 = layout.dispatchers.iter().map(|dispatcher| dispatcher.share).sum();
+    assert!((share - 1.0).abs() < 1e-9);
+    assert_eq!(layout.dispatchers.iter().filter(|dispatcher| !dispatcher.hollow).count(), 5);
+    assert_eq!(layout.zones.iter().map(|zone| zone.region).collect::<Vec<_>>(), [0, 0, 0, 1, 1]);
+    assert_eq!(layout.settings["projects"].as_array().unwrap().len(), 300);
+}
