--- a/lab/src/scale.rs
+++ b/lab/src/scale.rs
@@ -2,13 +2,17 @@
 //! role in a process of its own so that its cost can be read. It owns what a run consists of; it must never
 //! measure one role's cost inside another's process.
 
+pub mod acts;
 pub mod changes;
 mod checks;
+pub mod config;
 mod costs;
 pub mod delays;
 mod faults;
 pub mod figures;
 pub mod fit;
+pub mod herd;
+pub mod hollow;
 pub mod joined;
 pub mod layout;
 pub mod machine;
@@ -22,7 +26,10 @@
 pub mod play;
 pub mod point;
 mod processes;
+pub mod records;
 pub mod report;
 pub mod sample;
 pub mod session;
+pub mod steps;
+pub mod stream;
 pub mod words;
--- a/lab/src/scale/figures.rs
+++ b/lab/src/scale/figures.rs
@@ -2,7 +2,7 @@
 //! each fault cost. It owns their names and how each is reckoned; it must never start or read anything.
 
 use super::costs;
-use super::delays::{acts_of_log, delays};
+use super::delays::{delays, of_real};
 use super::joined::{Joined, Records};
 use super::play::Played;
 use hdrhistogram::Histogram;
@@ -132,7 +132,7 @@
 fn changes(played: &Played, records: &Records, values: &mut Values) {
     let mut acts = records.acts.clone();
     for (number, log) in played.logs.iter().enumerate() {
-        acts.extend(acts_of_log(number, log, &played.changes));
+        acts.extend(of_real(number, log, &played.changes));
     }
     let dispatchers = played.layout.dispatchers.iter().enumerate();
     for (side, hollow) in [("real", false), ("hollow", true)] {
--- a/lab/src/scale/layout.rs
+++ b/lab/src/scale/layout.rs
@@ -136,11 +136,3 @@
         "tick": 4_000_000, "weights": "nominal", "worthBy": "request", "zone": zones[0].name
     })
 }
-
-/// The settings of one dispatcher.
-pub fn own_settings(layout: &Layout, settings: &Value, number: usize) -> Value {
-    let mut settings = settings.clone();
-    settings["me"] = json!(number);
-    settings["zone"] = json!(layout.zones[layout.dispatchers[number].zone].name);
-    settings
-}
--- a/lab/src/scale/processes.rs
+++ b/lab/src/scale/processes.rs
@@ -1,7 +1,7 @@
 //! All processes of a point: parts and real dispatchers, started in the order in which they need each other and
 //! stopped together. It owns them, and must never know what is asked of them.
 
-use super::layout::own_settings;
+use super::config::config;
 use super::part_link::Part;
 use super::point::Point;
 use super::words::{Begin, Command, Counts, Layout};
@@ -68,7 +68,7 @@
         let mut starts = JoinSet::new();
         for (number, dispatcher) in self.real.iter().enumerate() {
             let (dispatcher, operator) = (dispatcher.clone(), self.operator.clone());
-            let config = self.config(number, &self.layout.settings);
+            let config = self.config(number, &self.layout.settings)?;
             starts.spawn(async move { dispatcher.launch(&config, &operator).await });
         }
         while let Some(started) = starts.join_next().await {
@@ -77,12 +77,12 @@
         Ok(())
     }
 
-    fn config(&self, number: usize, settings: &Value) -> Value {
-        let dispatcher = &self.layout.dispatchers[number];
-        json!({"name": dispatcher.name, "listen": dispatcher.listen.to_string(),
-            "discovery": self.discovery.get(number).map(SocketAddr::to_string).unwrap_or_default(),
-            "seed": format!("{:016x}", self.layout.seed.wrapping_mul(31).wrapping_add(number as u64)),
-            "limits": self.limits, "settings": own_settings(&self.layout, settings, number)})
+    /// What a hollow one is told too, with the point's limits.
+    fn config(&self, number: usize, settings: &Value) -> Result<Value, String> {
+        let discovery = self.discovery.get(number).ok_or_else(|| format!("n{number} has no discovery"))?;
+        let mut config = config(&self.layout, number, settings, *discovery);
+        config["limits"] = self.limits.clone();
+        Ok(config)
     }
 
     /// Hands new settings to the real dispatchers: the file, and a SIGHUP.
@@ -92,7 +92,7 @@
     /// Names the file that could not be written.
     pub async fn settings_of_real(&self, settings: &Value) -> Result<(), String> {
         for (number, dispatcher) in self.real.iter().enumerate() {
-            dispatcher.configure(&self.config(number, settings))?;
+            dispatcher.configure(&self.config(number, settings)?)?;
             dispatcher.hang_up().await;
         }
         Ok(())
--- a/lab/tests/scale_figures.rs
+++ b/lab/tests/scale_figures.rs
@@ -1,7 +1,7 @@
 //! What a scale run makes of its records: lines, delays of changes, sizes as a command says them.
 
 use sablerun_lab::scale::changes::Change;
-use sablerun_lab::scale::delays::{acts_of_log, delays};
+use sablerun_lab::scale::delays::{delays, of_real};
 use sablerun_lab::scale::fit::{by_point, line, series};
 use sablerun_lab::scale::session::size;
 use std::collections::BTreeMap;
@@ -51,7 +51,7 @@
     let at = |s: f64| midnight + 5 * 3600 * second + (s * 1e6) as u64;
     let change = |what, version, s| Change { what, version, at_us: at(s) };
     let changes = [change("list", 2, 1.5), change("list", 9, 2.05), change("settings", 1, 3.0)];
-    let acts = acts_of_log(4, log, &changes);
+    let acts = of_real(4, log, &changes);
     assert_eq!(acts.len(), 3);
     assert_eq!(acts[0].at_us, at(1.25));
     // Version 3 brings 2; 9 was overtaken, so nobody acted by it.
