--- a/lab/tests/parts.rs
+++ b/lab/tests/parts.rs
@@ -125,6 +125,42 @@
     assert!(std::net::TcpStream::connect_timeout(&ready.dial[0][0], PATIENCE).is_err());
 }
 
+#[test]
+fn discovery_tells_its_list_by_view_and_its_changes_by_version() {
+    let mut layout = layout("discovery", "127.0.0.1:1".parse().unwrap());
+    layout.settings["kinds"] = json!(["k4-full"]);
+    let dial = |runner: u16| (0..4).map(move |view| SocketAddr::from(([10, 0, 0, 1], 100 * runner + view)));
+    let dial: Vec<Vec<SocketAddr>> = (1..=2).map(|runner| dial(runner).collect()).collect();
+    let begin = Begin { layout, dial, discovery: Vec::new() };
+    let mut part = Part::start("discovery");
+    let ready = part.begin(&begin);
+    assert_eq!(ready.discovery.len(), 1);
+    let list = || {
+        let message = call(ready.discovery[0], "GET /discovery/hosts HTTP/1.1", "");
+        serde_json::from_str::<serde_json::Value>(&message.body).unwrap()
+    };
+    let host = json!({"host": "r-1", "dial": "10.0.0.1:203", "site": "b", "class": "k4-full", "block": 1000,
+                      "health": "active", "share": 1.0, "born_ms": 0});
+    assert_eq!((&list()["seq"], &list()["hosts"][1]), (&json!(1), &host));
+
+    let counts = part.command(&Command::List { runners: vec![0], health: "left".into(), up: false });
+    assert_eq!(counts.seq, 2);
+    assert_eq!(list()["hosts"], json!([host]));
+    let counts = part.command(&Command::List { runners: vec![1], health: "active".into(), up: true });
+    assert_eq!((counts.seq, &list()["hosts"][0]["born_ms"]), (3, &json!(counts.at_us / 1000)));
+    let bad: Counts = part.say(r#"{"list":{"runners":[0],"health":"well","up":false}}"#);
+    assert!(bad.error.unwrap().contains("well"));
+    let bad: Counts = part.say(r#"{"list":{"runners":[7],"health":"left","up":false}}"#);
+    assert!(bad.error.unwrap().contains("no runner 7"));
+    let counts = part.command(&Command::Count);
+    assert_eq!(counts.values["hollow.whole_lists"], 5.0);
+
+    let mut part = Part::start("discovery");
+    let begin = Begin { dial: Vec::new(), ..begin };
+    let ready: Ready = part.say(&serde_json::to_string(&begin).unwrap());
+    assert!(ready.error.unwrap().contains("dial"));
+}
+
 #[test]
 fn a_part_that_can_not_begin_says_why() {
     let mut part = Part::start("runners");
--- a/stand-ins/src/discovery.rs
+++ b/stand-ins/src/discovery.rs
@@ -2,9 +2,17 @@
 //! dispatcher, since a runner's `dial` differs from one to another. It owns the list's version, and does
 //! wrong what a test plans.
 
+mod calls;
+pub mod counted;
+pub mod lists;
+
 use crate::http::Connection;
+use crate::link::{Cut, Link, View};
 use crate::scripted::Events;
-use serde_json::{Value, json};
+use calls::Caller;
+use counted::Counts;
+use lists::{Entries, Lists, change};
+use serde_json::Value;
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
@@ -12,15 +20,13 @@
 use tokio::net::TcpListener;
 use tokio::sync::{broadcast, watch};
 
-/// Time between the empty lines of a watch.
-const QUIET: Duration = Duration::from_secs(2);
-/// Time between the bytes of an object that never ends.
-const TRICKLE: Duration = Duration::from_millis(500);
+/// Most changes that a watch may be behind; one that falls further back ends.
+const BEHIND: usize = 1024;
+/// Wait before a listener that ran out of descriptors tries again.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
 struct State {
-    seq: u64,
-    /// The entries for each dispatcher.
-    hosts: Vec<Vec<Value>>,
+    lists: Lists,
     plan: VecDeque<Planned>,
 }
 
@@ -45,9 +51,25 @@
     Last,
 }
 
+/// Who asks, and how they are told.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    /// From where the list is seen.
+    pub views: Vec<View>,
+    /// The view of each dispatcher.
+    pub dispatchers: Vec<usize>,
+    /// Bytes of a watch's chunks; each object is one if left out.
+    pub chunk: Option<usize>,
+    /// Whether changes come indented, as lists may.
+    pub indented: bool,
+    /// How many changes are known to those who ask what came after a version.
+    pub held: usize,
+}
+
 #[derive(Clone)]
 enum Change {
-    Told(u64, Vec<Vec<Value>>),
+    /// What is written, by view.
+    Told(Arc<Vec<String>>),
     /// Watches end.
     Broken,
 }
@@ -56,6 +78,9 @@
 #[derive(Clone)]
 pub struct Discovery {
     state: Arc<Mutex<State>>,
+    plan: Arc<Plan>,
+    link: Arc<Link>,
+    tally: Arc<Counts>,
     changes: broadcast::Sender<Change>,
     resumed: watch::Sender<usize>,
     /// The calls' first lines.
@@ -74,48 +99,68 @@
         Discovery::planned(hosts, &[]).await
     }
 
-    /// The same, whose first calls go as planned.
+    /// The same, whose first calls go as planned. Watches always begin with the whole list, in chunks that end
+    /// anywhere.
+    ///
+    /// # Errors
+    ///
+    /// If no address is free.
+    pub async fn planned(hosts: Vec<Vec<Value>>, calls: &[Planned]) -> std::io::Result<Discovery> {
+        let views = vec![View { region: 0, hollow: false }; hosts.len()];
+        let dispatchers = (0..hosts.len()).collect();
+        let plan = Plan { views, dispatchers, chunk: Some(37), indented: true, held: 0 };
+        Discovery::serve(hosts, plan, calls).await
+    }
+
+    /// Serves each dispatcher the list of its view.
     ///
     /// # Errors
     ///
     /// If no address is free.
-    pub async fn planned(hosts: Vec<Vec<Value>>, plan: &[Planned]) -> std::io::Result<Discovery> {
+    pub async fn serve(hosts: Entries, plan: Plan, calls: &[Planned]) -> std::io::Result<Discovery> {
         let mut listeners = Vec::new();
-        for _ in &hosts {
+        for _ in &plan.dispatchers {
             listeners.push(TcpListener::bind("127.0.0.1:0").await?);
         }
         let at = listeners.iter().map(TcpListener::local_addr).collect::<Result<_, _>>()?;
-        let plan = plan.iter().copied().collect();
-        let state = Arc::new(Mutex::new(State { seq: 1, hosts, plan }));
-        let (changes, calls) = (broadcast::channel(64).0, Events::default());
-        let discovery = Discovery { state, changes, resumed: watch::channel(0).0, calls, at };
+        let lists = Lists::new(hosts, plan.held);
+        let discovery = Discovery {
+            state: Arc::new(Mutex::new(State { lists, plan: calls.iter().copied().collect() })),
+            plan: Arc::new(plan),
+            link: Arc::default(),
+            tally: Arc::default(),
+            changes: broadcast::channel(BEHIND).0,
+            resumed: watch::channel(0).0,
+            calls: Events::default(),
+            at,
+        };
         for (dispatcher, listener) in listeners.into_iter().enumerate() {
             let discovery = discovery.clone();
             tokio::spawn(async move {
-                while let Ok((stream, _)) = listener.accept().await {
-                    let discovery = discovery.clone();
-                    tokio::spawn(async move {
-                        let _ = discovery.serve(dispatcher, Connection::new(stream)).await;
-                    });
+                loop {
+                    let Ok((stream, _)) = listener.accept().await else {
+                        tokio::time::sleep(ACCEPT_PAUSE).await;
+                        continue;
+                    };
+                    let caller = Caller::new(discovery.clone(), dispatcher, Connection::new(stream));
+                    tokio::spawn(caller.serve());
                 }
             });
         }
         Ok(discovery)
     }
 
-    /// Tells every watch of a change: entries for each dispatcher.
-    pub fn tell(&self, changed: &[Vec<Value>]) {
+    /// Tells every watch of a change: entries for each view. The version that it has.
+    pub fn tell(&self, changed: &[Vec<Value>]) -> u64 {
         let mut state = self.state.lock().expect("no holder panics");
-        state.seq += 1;
-        for (held, changed) in state.hosts.iter_mut().zip(changed) {
-            for entry in changed {
-                held.retain(|old| old["host"] != entry["host"]);
-                if entry["health"] != "left" {
-                    held.push(entry.clone());
-                }
-            }
-        }
-        let _ = self.changes.send(Change::Told(state.seq, changed.to_vec()));
+        state.lists.change(changed);
+        let seq = state.lists.seq();
+        let line = |entries: &Vec<Value>| match self.plan.indented {
+            true => format!("{:#}", change(seq, entries)),
+            false => change(seq, entries).to_string(),
+        };
+        let _ = self.changes.send(Change::Told(Arc::new(changed.iter().map(line).collect())));
+        seq
     }
 
     /// Goes on where the plan has it wait for that.
@@ -126,7 +171,7 @@
     /// Begins to count anew, as one that was restarted: watches end, and this is the list.
     pub fn restart(&self, hosts: Vec<Vec<Value>>) {
         let mut state = self.state.lock().expect("no holder panics");
-        (state.seq, state.hosts) = (1, hosts);
+        state.lists = Lists::new(hosts, self.plan.held);
         let _ = self.changes.send(Change::Broken);
     }
 
@@ -135,70 +180,13 @@
         let _ = self.changes.send(Change::Broken);
     }
 
-    async fn serve(&self, dispatcher: usize, mut connection: Connection) -> std::io::Result<()> {
-        while let Some(request) = connection.read().await? {
-            let (mut changes, mut resumed) = (self.changes.subscribe(), self.resumed.subscribe());
-            let (whole, planned) = {
-                let mut state = self.state.lock().expect("no holder panics");
-                let whole = json!({"seq": state.seq, "whole": true, "hosts": state.hosts[dispatcher]});
-                (whole.to_string(), state.plan.pop_front())
-            };
-            self.calls.push(format!("{} {} HTTP/1.1", request.method, request.target));
-            match planned {
-                Some(Planned::Busy) => {
-                    connection.write("HTTP/1.1 503 Busy", b"").await?;
-                    continue;
-                }
-                Some(Planned::Last) => {
-                    connection.write("HTTP/1.1 503 Busy", b"").await?;
-                    let _ = connection.read().await;
-                    return Ok(());
-                }
-                Some(Planned::Reset) => return Ok(()),
-                Some(Planned::Mute) => std::future::pending().await,
-                Some(Planned::Held) => _ = resumed.wait_for(|times| *times >= 2).await,
-                _ => {}
-            }
-            if !request.target.contains("stream=1") {
-                connection.write("HTTP/1.1 200 OK", whole.as_bytes()).await?;
-                continue;
-            }
-            connection.raw(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").await?;
-            let mut line = whole;
-            loop {
-                line.push('\n');
-                // In chunks that end anywhere.
-                for part in line.as_bytes().chunks(37) {
-                    let head = format!("{:x}\r\n", part.len());
-                    connection.raw(&[head.as_bytes(), part, b"\r\n"].concat()).await?;
-                }
-                match planned {
-                    Some(Planned::Silent) => std::future::pending().await,
-                    Some(Planned::Late) if *resumed.borrow() == 0 => {
-                        let _ = resumed.wait_for(|times| *times >= 1).await;
-                        line = String::new();
-                        continue;
-                    }
-                    Some(Planned::Trickle) => {
-                        connection.raw(b"1\r\n{\r\n").await?;
-                        loop {
-                            tokio::time::sleep(TRICKLE).await;
-                            connection.raw(b"1\r\n \r\n").await?;
-                        }
-                    }
-                    _ => {}
-                }
-                line = match tokio::time::timeout(QUIET, changes.recv()).await {
-                    Err(_) => String::new(),
-                    Ok(Ok(Change::Told(seq, hosts))) => {
-                        // Indented, as lists may come.
-                        let change = json!({"seq": seq, "whole": false, "hosts": hosts[dispatcher]});
-                        format!("{change:#}")
-                    }
-                    Ok(Ok(Change::Broken) | Err(_)) => return Ok(()),
-                };
-            }
-        }
-        Ok(())
+    /// Cuts the link to dispatchers of other regions than discovery's, which is the first, or makes it whole.
+    pub fn link(&self, cut: Option<Cut>) {
+        self.link.set(cut);
+    }
+
+    /// What was counted.
+    pub fn tally(&self) -> &Counts {
+        &self.tally
     }
 }
--- /dev/null
+++ b/stand-ins/src/discovery/counted.rs
@@ -0,0 +1,31 @@
+//! What is counted of discovery. It owns the names; it must never count.
+
+use crate::tally::{Tally, named};
+
+named! {
+    /// What only grows. Bytes are those of HTTP messages, chunks and all; `in` is toward discovery.
+    Count {
+        Accepted = "connections_accepted",
+        ListCalls = "calls.lists",
+        WatchCalls = "calls.watches",
+        WholeLists = "whole_lists",
+        Changes = "changes",
+        EmptyLines = "empty_lines",
+        BytesIn = "bytes_in",
+        BytesOutLists = "bytes_out.lists",
+        BytesOutChanges = "bytes_out.changes",
+        BytesOutEmptyLines = "bytes_out.empty_lines",
+    }
+}
+
+named! {
+    /// What comes and goes. A call is under way until its list, or a watch's first object, is written.
+    Level {
+        Connections = "connections_open",
+        Calls = "calls",
+        Watches = "watches",
+    }
+}
+
+/// The counts of discovery.
+pub type Counts = Tally<Count, Level>;
--- a/stand-ins/src/hollow.rs
+++ b/stand-ins/src/hollow.rs
@@ -14,7 +14,7 @@
 pub mod slots;
 mod telling;
 
-pub use crate::link::Cut;
+pub use crate::link::{Cut, View};
 
 use crate::link::Link;
 use counted::Counts;
@@ -29,15 +29,6 @@
 /// Time between looks at connections that rest.
 const SWEEP: Duration = Duration::from_secs(1);
 
-/// From where dispatchers see runners: each runner has a listener for each of these.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct View {
-    /// The region that they stand in.
-    pub region: usize,
-    /// Whether they are hollow themselves: what they cause is counted apart.
-    pub hollow: bool,
-}
-
 /// A dispatcher, whose number is the first four hexadecimal digits of its requests' ids.
 #[derive(Clone, Copy, Debug)]
 pub struct Dispatcher {
--- a/stand-ins/src/http.rs
+++ b/stand-ins/src/http.rs
@@ -111,6 +111,20 @@
         let _ = self.stream.set_zero_linger();
     }
 
+    /// The next line of a stream in chunks, without its end. Heads of chunks are lines too.
+    pub async fn line(&mut self) -> io::Result<String> {
+        loop {
+            if let Some(end) = self.buffer.iter().position(|byte| *byte == b'\n') {
+                let line: Vec<u8> = self.buffer.drain(..=end).collect();
+                return Ok(String::from_utf8_lossy(&line).trim_end().to_owned());
+            }
+            self.buffer.reserve(ROOM);
+            if self.stream.read_buf(&mut self.buffer).await? == 0 {
+                return Err(io::ErrorKind::UnexpectedEof.into());
+            }
+        }
+    }
+
     /// Writes a message whole.
     pub async fn write(&mut self, head: &str, body: &[u8]) -> io::Result<()> {
         let mut bytes = format!("{head}\r\nContent-Length: {}\r\n\r\n", body.len()).into_bytes();
--- a/stand-ins/src/link.rs
+++ b/stand-ins/src/link.rs
@@ -12,6 +12,16 @@
     Back,
 }
 
+/// From where dispatchers see a stand-in: each of these has an address of its own, so that a cut link and each
+/// side's bytes can be told apart.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct View {
+    /// The region that they stand in.
+    pub region: usize,
+    /// Whether they are hollow themselves: what they cause is counted apart.
+    pub hollow: bool,
+}
+
 /// The link.
 pub struct Link(watch::Sender<Option<Cut>>);
 
