--- a/lab/src/scale.rs
+++ b/lab/src/scale.rs
@@ -6,6 +6,7 @@
 pub mod changes;
 mod checks;
 pub mod config;
+mod control;
 mod costs;
 pub mod delays;
 mod faults;
--- a/lab/src/scale/checks.rs
+++ b/lab/src/scale/checks.rs
@@ -75,6 +75,9 @@
     if !sweep.sizes.contains(&sweep.base) {
         return Err(format!("sweep.base: {} is none of sweep.sizes", sweep.base));
     }
+    if let Some(check) = sweep.check.filter(|check| !sweep.sizes.contains(check)) {
+        return Err(format!("sweep.check: {check} is none of sweep.sizes"));
+    }
     above("sweep.fill_s", sweep.fill_s)?;
     above("sweep.measured_s", sweep.measured_s)?;
     least("sweep.rest_s", sweep.rest_s)
--- a/lab/src/scale/costs.rs
+++ b/lab/src/scale/costs.rs
@@ -1,6 +1,7 @@
 //! Costs of a point: usage by role and dispatcher, messages by kind, and what each fault cost. It owns how they
 //! are reckoned from two samples and two counts; it must never read anything itself.
 
+use super::faults::Done;
 use super::figures::Values;
 use super::joined::Records;
 use super::play::Played;
@@ -114,12 +115,34 @@
         let (before, recovered) = recovery(&records.starts, fault.at_us, until);
         set("started_per_s_before", before);
         set("served_as_before_after_s", recovered);
+        let [there, again, waiting] = stranded(records, fault);
+        set("ran_on_what_went", there);
+        set("ran_again", again);
+        set("unanswered_to_the_end", waiting);
         for (name, value) in &fault.load {
             set(&format!("within_10_s.{name}"), *value);
         }
     }
 }
 
+/// Requests that ran on machines as those vanished, how many of them ran again elsewhere, and how many had neither
+/// run again nor an answer when the point ended.
+fn stranded(records: &Records, fault: &Done) -> [f64; 3] {
+    let mut counts = [0.0; 3];
+    for joined in &records.requests {
+        let before = joined.starts.iter().rfind(|(at, _)| *at <= fault.at_us);
+        let there = before.is_some_and(|(_, runner)| fault.gone.contains(runner));
+        if !there || joined.request.answered_us <= fault.at_us {
+            continue;
+        }
+        let again = joined.starts.iter().any(|(at, _)| *at > fault.at_us);
+        counts[0] += 1.0;
+        counts[1] += f64::from(u8::from(again));
+        counts[2] += f64::from(u8::from(!again && joined.request.answer == "open"));
+    }
+    counts
+}
+
 /// Starts a second before a moment, and how long after it the last stretch below that is over.
 fn recovery(starts: &[u64], at_us: u64, until_us: u64) -> (f64, f64) {
     let between = |from: u64, to: u64| {
--- a/lab/src/scale/faults.rs
+++ b/lab/src/scale/faults.rs
@@ -26,6 +26,8 @@
     pub back_us: u64,
     /// Dispatchers that were killed.
     pub killed: Vec<usize>,
+    /// Runners whose machines vanished.
+    pub gone: Vec<usize>,
     /// What the parts counted in the time after it, where that is of interest.
     pub load: BTreeMap<String, f64>,
 }
@@ -68,20 +70,23 @@
 impl One {
     async fn play(&self, mut random: Rng) -> Result<Done, String> {
         let layout = &self.processes.layout;
-        let (at_us, mut load, mut killed, mut back_us) = (now_us(), BTreeMap::new(), Vec::new(), 0);
+        let (at_us, mut load, mut back_us) = (now_us(), BTreeMap::new(), 0);
+        let (mut killed, mut gone) = (Vec::new(), Vec::new());
         let runners = 0..layout.runners.len();
         match self.fault.what {
             What::Runners => {
                 let count = self.fault.count;
-                self.runners(random.choose_multiple(runners, count)).await?;
+                gone = self.runners(random.choose_multiple(runners, count)).await?;
             }
             What::Rack => {
                 let rack = random.choice(&layout.runners).map_or(0, |runner| runner.rack);
-                self.runners(runners.filter(|n| layout.runners[*n].rack == rack).collect()).await?;
+                let own = runners.filter(|n| layout.runners[*n].rack == rack);
+                gone = self.runners(own.collect()).await?;
             }
             What::Zone => {
                 let zone = random.usize(..layout.zones.len());
-                self.runners(runners.filter(|n| layout.runners[*n].zone == zone).collect()).await?;
+                let own = runners.filter(|n| layout.runners[*n].zone == zone);
+                gone = self.runners(own.collect()).await?;
             }
             What::Dispatchers => {
                 let real = random.choose_multiple(0..self.processes.real.len(), self.fault.count);
@@ -113,7 +118,7 @@
         }
         // What a restart bore is counted until long after it.
         let back_us = if back_us == 0 { now_us() } else { back_us };
-        Ok(Done { name: self.fault.name.clone(), at_us, back_us, killed, load })
+        Ok(Done { name: self.fault.name.clone(), at_us, back_us, killed, gone, load })
     }
 
     async fn away(&self) {
@@ -121,12 +126,13 @@
     }
 
     /// Machines vanish; discovery hears of it, and of their return, as its agents would tell it.
-    async fn runners(&self, runners: Vec<usize>) -> Result<(), String> {
+    async fn runners(&self, runners: Vec<usize>) -> Result<Vec<usize>, String> {
         self.processes.tell(&Command::RunnersDown { runners: runners.clone() }).await?;
         self.changes.runners(&runners, "left", false).await?;
         self.away().await;
         self.processes.tell(&Command::RunnersUp { runners: runners.clone() }).await?;
-        self.changes.runners(&runners, "active", true).await
+        self.changes.runners(&runners, "active", true).await?;
+        Ok(runners)
     }
 
     /// Kills them and starts them again; all that were.
--- a/lab/src/scale/figures.rs
+++ b/lab/src/scale/figures.rs
@@ -1,6 +1,7 @@
 //! Figures of a point by name: starts, answers, orders, delays of changes, usage and messages by role, and what
 //! each fault cost. It owns their names and how each is reckoned; it must never start or read anything.
 
+use super::control::control;
 use super::costs;
 use super::delays::{delays, of_real};
 use super::joined::{Joined, Records};
@@ -36,6 +37,7 @@
     changes(played, records, &mut values);
     costs::usage(played, &mut values);
     costs::messages(played, &mut values);
+    control(played, &mut values);
     costs::faults(played, records, &mut values);
     values
 }
--- a/lab/src/scale/joined.rs
+++ b/lab/src/scale/joined.rs
@@ -16,6 +16,8 @@
     pub request: Request,
     /// Microseconds of Unix time.
     pub started_us: Option<u64>,
+    /// All its starts in order, and at which runner.
+    pub starts: Vec<(u64, usize)>,
 }
 
 /// The records of a point.
@@ -37,15 +39,15 @@
     /// Names the file and the row.
     pub fn read(folder: &Path) -> Result<Records, String> {
         let told: Vec<Start> = rows(folder, "starts")?;
-        let mut first: HashMap<&str, u64> = HashMap::new();
+        let mut by_id: HashMap<&str, Vec<(u64, usize)>> = HashMap::new();
         for start in &told {
-            let at = first.entry(&start.id).or_insert(start.at_us);
-            *at = start.at_us.min(*at);
+            by_id.entry(&start.id).or_default().push((start.at_us, start.runner));
         }
         let requests: Vec<Request> = rows(folder, "requests")?;
         let join = |request: Request| {
-            let started_us = first.get(request.id.as_str()).copied();
-            Joined { request, started_us }
+            let mut starts = by_id.get(request.id.as_str()).cloned().unwrap_or_default();
+            starts.sort_unstable();
+            Joined { request, started_us: starts.first().map(|start| start.0), starts }
         };
         let requests = requests.into_iter().map(join).collect();
         let mut starts: Vec<_> = told.iter().map(|start| start.at_us).collect();
--- a/lab/src/scale/part_clients.rs
+++ b/lab/src/scale/part_clients.rs
@@ -14,6 +14,8 @@
 
 /// Threads that serve all clients.
 const WORKERS: usize = 2;
+/// Time between two looks whether all requests have ended.
+const LOOK: Duration = Duration::from_millis(5);
 
 /// Plays the part until standard input ends.
 ///
@@ -74,6 +76,10 @@
                 self.answers.over();
                 // With a stream its requests end too, and their connections with them.
                 self.streams.shutdown().await;
+                // Its requests are told to end only then, and each writes its row when it does.
+                while self.answers.counts()["requests.out"] > 0.0 {
+                    tokio::time::sleep(LOOK).await;
+                }
                 for idle in self.idle.iter() {
                     held(idle).clear();
                 }
--- a/lab/src/scale/plan.rs
+++ b/lab/src/scale/plan.rs
@@ -118,6 +118,8 @@
     pub sizes: Vec<f64>,
     /// The others' size where one is varied: one of the sizes.
     pub base: f64,
+    /// The size of all together that a check plays too.
+    pub check: Option<f64>,
     /// Real dispatchers.
     pub real: usize,
     /// Time in which what is to be out at once arrives.
@@ -187,8 +189,11 @@
         };
         // Thousandths of the whole: a name holds no dot.
         let part = |size: f64| (size * 1000.0).round();
-        let mut points: Vec<_> =
-            sweep.sizes.iter().map(|&size| point(format!("all-{}", part(size)), size)).collect();
+        let all = |&size: &f64| Point {
+            check: sweep.check == Some(size),
+            ..point(format!("all-{}", part(size)), size)
+        };
+        let mut points: Vec<_> = sweep.sizes.iter().map(all).collect();
         for quantity in QUANTITIES {
             for &size in sweep.sizes.iter().filter(|size| **size != sweep.base) {
                 let mut point = point(format!("{quantity}-{}", part(size)), sweep.base);
--- a/lab/src/scale/report.rs
+++ b/lab/src/scale/report.rs
@@ -10,19 +10,22 @@
 use std::path::Path;
 
 /// The figures of the page's table, and of the charts.
-const SHOWN: [(&str, &str); 18] = [
+const SHOWN: [(&str, &str); 21] = [
     ("real.cpu_pct", "real dispatcher, % of a core"),
     ("hollow.cpu_pct", "hollow dispatcher, % of a core"),
-    ("real.rss_mb", "real dispatcher, MiB"),
+    ("real.rss_mb", "real dispatcher, resident MiB"),
     ("real.anon_mb", "real dispatcher, MiB of its own"),
-    ("hollow.rss_mb", "hollow dispatcher, MiB"),
+    ("hollow.anon_mb", "hollow dispatcher, MiB of its own"),
     ("real.descriptors", "real dispatcher, descriptors"),
-    ("discovery.real.control_bytes_out_per_s", "discovery to a real dispatcher, bytes a second"),
-    ("discovery.hollow.control_bytes_out_per_s", "discovery to a hollow one, bytes a second"),
-    ("runners.real.control_bytes_per_s", "probes and reports of a real dispatcher, bytes a second"),
-    ("runners.hollow.control_bytes_per_s", "probes and reports of a hollow one, bytes a second"),
-    ("dispatchers.decision_p99_us", "one decision at the 99th percentile, us"),
+    ("control.real.bytes_per_s", "control, real dispatcher, bytes a second"),
+    ("control.hollow.bytes_per_s", "control, hollow dispatcher, bytes a second"),
+    ("control.real.bytes_probes_per_s", "probes of a real dispatcher, bytes a second"),
+    ("control.real.bytes_changes_per_s", "changes told to a real dispatcher, bytes a second"),
+    ("control.real.bytes_settings_per_s", "settings handed to a real dispatcher, bytes a second"),
+    ("dispatchers.decision.all.p99_us", "one decision at the 99th percentile, us"),
+    ("dispatchers.decision.all.mean_us", "one decision, mean, us"),
     ("discovery.cpu_pct", "discovery, % of a core"),
+    ("discovery.rss_mb", "discovery, resident MiB"),
     ("runners.cpu_pct", "all runners, % of a core"),
     ("start.urgent_p50_ms", "urgent start, median, ms"),
     ("start.urgent_p99_ms", "urgent start, 99th percentile, ms"),
--- a/lab/tests/scale_plan.rs
+++ b/lab/tests/scale_plan.rs
@@ -29,7 +29,7 @@
     assert!((0.84..=0.91).contains(&(13_000.0 / slots)), "{slots} slots");
     let alone = named("runners-1000").numbers(&plan, 1.0);
     assert_eq!((alone.runners, alone.dispatchers, alone.running), (680, 75, 3250));
-    let small = named("whole").numbers(&plan, 1.0 / 32.0);
+    let small = named("all-1000").numbers(&plan, 1.0 / 32.0);
     assert_eq!((small.runners, small.dispatchers, small.running), (21, 9, 406));
     assert_eq!(named("idle").numbers(&plan, 1.0).running, 0);
 }
@@ -46,9 +46,10 @@
         ("urgent = 0.05", "urgent = 5", "stream.urgent: 5; from 0 to 1"),
         ("load = 0.87", "load = 1.87", "site.load: 1.87; from 0 to 1"),
         ("base = 0.25", "base = 0.3", "sweep.base: 0.3 is none of sweep.sizes"),
+        ("check = 1.0", "check = 2.0", "sweep.check: 2 is none of sweep.sizes"),
         ("racks = 20", "racks = 3", "site.racks: at least 5, one for each zone"),
         ("real = \"dozen-real\"", "real = \"none\"", "compare.hollow-to-real: there is no point \"none\""),
-        ("whole.answers.lost", "hole.answers.lost", "hole.answers.lost: of no point"),
+        ("figure = \"all-1000.answers", "figure = \"hole.answers", "hole.answers.lost: of no point"),
         ("name = \"six\"", "name = \"idle\"", "point.name: \"idle\" is empty, holds a dot, or stands twice"),
     ] {
         assert_eq!(refused(old, new), told);
@@ -56,7 +57,7 @@
     let unknown = refused("tenants = 300", "tennants = 300");
     assert!(unknown.starts_with("whole") && unknown.contains("tennants"), "{unknown}");
     let unknown = refused("at_s = 6\n", "at = 6\n");
-    assert!(unknown.starts_with("point[6].fault[1]") && unknown.contains("`at`"), "{unknown}");
+    assert!(unknown.starts_with("point[5].fault[1]") && unknown.contains("`at`"), "{unknown}");
     let late = refused("at_s = 80", "at_s = 180");
     assert_eq!(late, "point.faults.fault.half.at_s: 180 leaves no time to be back; at most 100");
 }
