--- a/lab/src/scale.rs
+++ b/lab/src/scale.rs
@@ -27,6 +27,7 @@
 pub mod play;
 pub mod point;
 mod processes;
+pub mod publisher;
 pub mod records;
 pub mod report;
 pub mod sample;
--- a/lab/src/scale/acts.rs
+++ b/lab/src/scale/acts.rs
@@ -26,6 +26,11 @@
     acts.collect()
 }
 
+/// When a line of the log was written, in microseconds of Unix time.
+pub(super) fn at_us(line: &str) -> Option<u64> {
+    unix_us(line.strip_prefix('[')?.split_whitespace().next()?)
+}
+
 /// A time of the log, as `2026-12-02T05:00:25.123Z`.
 fn unix_us(time: &str) -> Option<u64> {
     let at: jiff::Timestamp = time.parse().ok()?;
--- a/lab/src/scale/costs.rs
+++ b/lab/src/scale/costs.rs
@@ -19,7 +19,7 @@
 /// Memory, processor time and descriptors.
 pub fn usage(played: &Played, values: &mut Values) {
     let hollow = played.layout.dispatchers.iter().filter(|dispatcher| dispatcher.hollow).count();
-    for part in ["runners", "discovery", "clients"] {
+    for part in ["runners", "discovery", "clients", "publisher"] {
         process(played, part, part, 1.0, values);
     }
     process(played, "dispatchers", "hollow", hollow.max(1) as f64, values);
--- a/lab/src/scale/faults.rs
+++ b/lab/src/scale/faults.rs
@@ -109,6 +109,13 @@
                     }
                 }
             }
+            What::Publisher => {
+                if let Some(publisher) = &self.processes.publisher {
+                    publisher.down().await;
+                    self.away().await;
+                    publisher.up().await?;
+                }
+            }
             What::Link => self.link(Way::Both).await?,
             What::LinkBack => self.link(Way::Back).await?,
             What::RollOut => {
--- a/lab/src/scale/herd.rs
+++ b/lab/src/scale/herd.rs
@@ -7,6 +7,7 @@
 use super::steps::Steps;
 use super::stream::Arrivals;
 use super::words::Begin;
+use sablerun_node::operator::Operator;
 use serde_json::Value;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
@@ -76,7 +77,8 @@
         acts: Acts,
     ) -> Result<Herd, String> {
         let tenants = begin.layout.stream.tenants > 0;
-        let shared = Rc::new(Shared { answers, acts, steps: RefCell::default(), tenants });
+        let operator = Operator::parse(&begin.operator).map_err(|e| format!("operator: {e}"))?;
+        let shared = Rc::new(Shared { answers, acts, steps: RefCell::default(), operator, tenants });
         let settings = begin.layout.settings.clone();
         let places = numbers.iter().map(|number| (*number, Place::default())).collect();
         let mut herd = Herd { begin, settings, shared, places, streams: JoinSet::new() };
--- a/lab/src/scale/hollow.rs
+++ b/lab/src/scale/hollow.rs
@@ -27,8 +27,10 @@
 use sablerun_node::assembly;
 use sablerun_node::config::{Config, adopt};
 use sablerun_node::limits::Limits;
+use sablerun_node::net::digest::Digest;
 use sablerun_node::net::platform::{self, Front};
 use sablerun_node::net::runners::Runners;
+use sablerun_node::operator::Operator;
 use sablerun_node::runtime::{Clock, Observer, Runtime};
 use serde_json::Value;
 use std::cell::{Cell, RefCell};
@@ -45,6 +47,8 @@
     pub acts: Acts,
     /// The time of their steps.
     pub steps: RefCell<Steps>,
+    /// The operator's file: what is switched on beside the settings.
+    pub operator: Operator,
     /// Whether clients name their tenants.
     pub tenants: bool,
 }
@@ -161,6 +165,9 @@
         let runtime = assembly::runtime(&config, settled, Clock::new(), limits, None)?;
         runtime.show_to(Rc::new(Looker { shared: shared.clone(), number }));
         let (runners, roster) = assembly::join(&runtime);
+        if let Some(section) = &shared.operator.digest {
+            Digest::start(&runtime, section);
+        }
         let listener = platform::listen(config.listen, runtime.limits.backlog)
             .map_err(|e| format!("listen: {}: {e}", config.listen))?;
         let front = assembly::begin(&runtime, &roster, config.known.filter(|_| !agent), listener);
--- a/lab/src/scale/part_discovery.rs
+++ b/lab/src/scale/part_discovery.rs
@@ -59,7 +59,8 @@
         region(&layout, runner.zone)?;
     }
     let of = layout.dispatchers.iter().map(|d| Ok(view(region(&layout, d.zone)?, d.hollow)));
-    let dispatchers = of.collect::<Result<Vec<_>, String>>()?;
+    let mut dispatchers = of.collect::<Result<Vec<_>, String>>()?;
+    dispatchers.push(views.len() - 1);
     let runners = vec![Listed { health: "active".to_owned(), born_ms: 0 }; layout.runners.len()];
     let seen = |view: usize| {
         let all = runners.iter().enumerate();
--- a/lab/src/scale/part_runners.rs
+++ b/lab/src/scale/part_runners.rs
@@ -2,8 +2,9 @@
 //! to the stand-ins' and the record of starts; it must never decide anything for a runner.
 
 use super::part;
-use super::words::{Begin, Command, Counts, Layout, Ready, Start, Way, now_us, view};
+use super::words::{Begin, Command, Counts, Layout, Ready, Start, Way, control_view, now_us, view};
 use sablerun_stand_ins::hollow::{Cut, Dispatcher, Planned, Runners, View, manner::Manner};
+use sablerun_stand_ins::tally::Side;
 use std::fs::File;
 use std::sync::{Arc, Mutex};
 
@@ -31,10 +32,10 @@
 /// The views by number, as the run numbers them.
 pub(super) fn views(layout: &Layout) -> Vec<View> {
     let regions = layout.zones.iter().map(|zone| zone.region + 1).max().unwrap_or(0);
-    let mut views = vec![View { region: 0, hollow: false }; regions * 2];
+    let mut views = vec![View { region: 0, side: Side::Control }; control_view(regions) + 1];
     for region in 0..regions {
         for hollow in [false, true] {
-            views[view(region, hollow)] = View { region, hollow };
+            views[view(region, hollow)] = View { region, side: Side::of(hollow) };
         }
     }
     views
--- a/lab/src/scale/play.rs
+++ b/lab/src/scale/play.rs
@@ -42,6 +42,8 @@
     pub faults: Vec<Done>,
     /// Logs of the real dispatchers.
     pub logs: Vec<String>,
+    /// The log of the digest's publisher, where there is one.
+    pub published: String,
 }
 
 /// How a point is played.
@@ -129,5 +131,6 @@
         changes: changes.made().await,
         faults,
         logs: processes.real.iter().map(|dispatcher| dispatcher.log()).collect(),
+        published: processes.publisher.as_ref().map(|publisher| publisher.log()).unwrap_or_default(),
     })
 }
--- a/lab/src/scale/point.rs
+++ b/lab/src/scale/point.rs
@@ -108,6 +108,8 @@
     LinkBack,
     /// So many changes, spread over `back_s`.
     RollOut,
+    /// The publisher of the load digest, killed and started again; nothing where there is none.
+    Publisher,
     /// Half of the dispatchers, real and hollow, started anew at once.
     Half,
 }
--- a/lab/src/scale/processes.rs
+++ b/lab/src/scale/processes.rs
@@ -4,6 +4,7 @@
 use super::config::config;
 use super::part_link::Part;
 use super::point::Point;
+use super::publisher::{ADDRESS, Publisher};
 use super::words::{Begin, Command, Counts, Layout};
 use crate::fleet::Dispatcher;
 use sablerun_stand_ins::program::program;
@@ -24,6 +25,8 @@
     pub parts: Vec<Arc<Part>>,
     /// The real dispatchers: the first ones of the layout.
     pub real: Vec<Arc<Dispatcher>>,
+    /// The publisher of a load digest, where the operator's file names one.
+    pub publisher: Option<Arc<Publisher>>,
     limits: Value,
     operator: String,
     discovery: Vec<SocketAddr>,
@@ -37,7 +40,12 @@
     /// Names the one that could not begin.
     pub async fn start(point: &Point, layout: Layout, operator: String) -> Result<Processes, String> {
         let folder = layout.folder.clone();
-        let mut begin = Begin { layout: layout.clone(), dial: Vec::new(), discovery: Vec::new() };
+        let mut begin = Begin {
+            layout: layout.clone(),
+            dial: Vec::new(),
+            discovery: Vec::new(),
+            operator: String::new(),
+        };
         let mut parts = Vec::new();
         let (runners, ready) = Part::start("runners", &folder, &begin).await?;
         parts.push(Arc::new(runners));
@@ -45,6 +53,13 @@
         let (discovery, ready) = Part::start("discovery", &folder, &begin).await?;
         parts.push(Arc::new(discovery));
         begin.discovery = ready.discovery.clone();
+        let control = *ready.discovery.last().ok_or("discovery: no address")?;
+        let publisher = match operator.contains(ADDRESS) {
+            true => Some(Arc::new(Publisher::start(&folder, control).await?)),
+            false => None,
+        };
+        let operator = publisher.as_ref().map_or(operator.clone(), |publisher| publisher.named_in(&operator));
+        begin.operator.clone_from(&operator);
         if layout.dispatchers.iter().any(|dispatcher| dispatcher.hollow) {
             parts.push(Arc::new(Part::start("dispatchers", &folder, &begin).await?.0));
         }
@@ -56,7 +71,7 @@
         let real = real.collect::<Result<Vec<_>, _>>()?;
         let limits = json!({"cores": 1.0, "memory_mb": point.memory_mb, "sockets": point.sockets});
         let discovery = ready.discovery;
-        let mut processes = Processes { layout, parts, real, limits, operator, discovery };
+        let mut processes = Processes { layout, parts, real, publisher, limits, operator, discovery };
         processes.start_real().await?;
         if !processes.real.is_empty() {
             processes.parts.push(Arc::new(Part::start("clients", &folder, &begin).await?.0));
@@ -128,6 +143,11 @@
                 return Err(ended);
             }
         }
+        if let Some(publisher) = &self.publisher
+            && let Some(ended) = publisher.ended().await
+        {
+            return Err(ended);
+        }
         for (number, dispatcher) in self.real.iter().enumerate() {
             if let Some(ended) = dispatcher.ended().await {
                 return Err(format!("the dispatcher n{number} ended unasked ({ended})"));
@@ -141,6 +161,9 @@
         for dispatcher in &self.real {
             dispatcher.stop().await;
         }
+        if let Some(publisher) = &self.publisher {
+            publisher.down().await;
+        }
         for part in &self.parts {
             part.stop().await;
         }
--- a/lab/src/scale/sample.rs
+++ b/lab/src/scale/sample.rs
@@ -49,6 +49,11 @@
                 ids.push((format!("n{number}"), id));
             }
         }
+        if let Some(publisher) = &processes.publisher
+            && let Some(id) = publisher.id().await
+        {
+            ids.push(("publisher".to_owned(), id));
+        }
         let usage = ids.into_iter().filter_map(|(name, id)| Some((name, usage(id)?)));
         Sample { at_us: now_us(), usage: usage.collect() }
     }
--- a/lab/src/scale/words.rs
+++ b/lab/src/scale/words.rs
@@ -99,8 +99,12 @@
     pub layout: Layout,
     /// Where runners listen, by runner and by view; empty for the part that opens them.
     pub dial: Vec<Vec<SocketAddr>>,
-    /// Where each dispatcher finds discovery; empty for the part that opens it and for those that need none.
+    /// Where each dispatcher finds discovery; empty for the part that opens it and for those that need none. One
+    /// more than there are dispatchers: control machines' own.
     pub discovery: Vec<SocketAddr>,
+    /// The operator's file of hollow dispatchers.
+    #[serde(default)]
+    pub operator: String,
 }
 
 /// Through which of its addresses a dispatcher sees each runner: a listener for each region and for real and
@@ -109,6 +113,11 @@
     region * 2 + usize::from(hollow)
 }
 
+/// The view of control machines, which stand in region 0: after those of all dispatchers.
+pub fn control_view(regions: usize) -> usize {
+    regions * 2
+}
+
 /// What a part answers to [`Begin`].
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/lab/tests/common/scene.rs
+++ b/lab/tests/common/scene.rs
@@ -57,7 +57,12 @@
 impl Stage {
     pub fn start(layout: &Layout) -> Stage {
         let (mut runners, mut discovery) = (Part::start("runners"), Part::start("discovery"));
-        let mut begin = Begin { layout: layout.clone(), dial: Vec::new(), discovery: Vec::new() };
+        let mut begin = Begin {
+            layout: layout.clone(),
+            dial: Vec::new(),
+            discovery: Vec::new(),
+            operator: String::new(),
+        };
         begin.dial = runners.begin(&begin).dial;
         begin.discovery = discovery.begin(&begin).discovery;
         Stage { runners, discovery, begin }
--- a/lab/tests/hollow_kill.rs
+++ b/lab/tests/hollow_kill.rs
@@ -11,6 +11,7 @@
 use sablerun_lab::scale::records::{Acts, Answers};
 use sablerun_lab::scale::stream::Arrivals;
 use sablerun_lab::scale::words::{Command, Request, Stream};
+use sablerun_node::operator::Operator;
 use scene::Stage;
 use std::cell::RefCell;
 use std::net::TcpStream;
@@ -40,7 +41,8 @@
         let answers = Answers::create(&layout.folder, "requests.csv", Duration::from_secs(3600)).unwrap();
         let acts = Acts::create(&layout.folder, "acts.csv").unwrap();
         let (steps, tenants) = (RefCell::default(), true);
-        let shared = Rc::new(Shared { answers: answers.clone(), acts, steps, tenants });
+        let shared =
+            Rc::new(Shared { answers: answers.clone(), acts, steps, operator: Operator::default(), tenants });
         let text = || config(&layout, 0, &layout.settings, discovery);
         let before = descriptors();
 
--- a/node/src/publisher.rs
+++ b/node/src/publisher.rs
@@ -49,7 +49,10 @@
         let frame = shared.publisher.borrow_mut().next(shared.config.frame_bytes());
         match frame.bytes() {
             // Nobody listens: nobody is owed it.
-            Ok(bytes) => drop(shared.frames.send(bytes)),
+            Ok(bytes) => {
+                log::debug!("frame of bytes={} followers={}", bytes.len(), shared.frames.receiver_count());
+                drop(shared.frames.send(bytes));
+            }
             Err(e) => log::error!("a frame could not be worded: {}", e.0),
         }
     }
--- a/node/src/publisher/serve.rs
+++ b/node/src/publisher/serve.rs
@@ -55,7 +55,10 @@
     // The next frame after the whole is the first that the receiver gets: both are taken in one moment.
     let frames = shared.frames.subscribe();
     let whole = match shared.publisher.borrow().whole().bytes() {
-        Ok(whole) => whole,
+        Ok(whole) => {
+            log::debug!("whole of bytes={}", whole.len());
+            whole
+        }
         Err(e) => {
             log::error!("the whole could not be worded: {}", e.0);
             return Response::new(StatusCode::INTERNAL_SERVER_ERROR);
--- a/stand-ins/src/discovery.rs
+++ b/stand-ins/src/discovery.rs
@@ -9,6 +9,7 @@
 use crate::http::Connection;
 use crate::link::{Cut, Link, View};
 use crate::scripted::Events;
+use crate::tally::Side;
 use calls::Caller;
 use counted::Counts;
 use lists::{Entries, Lists, change};
@@ -106,7 +107,7 @@
     ///
     /// If no address is free.
     pub async fn planned(hosts: Vec<Vec<Value>>, calls: &[Planned]) -> std::io::Result<Discovery> {
-        let views = vec![View { region: 0, hollow: false }; hosts.len()];
+        let views = vec![View { region: 0, side: Side::Real }; hosts.len()];
         let dispatchers = (0..hosts.len()).collect();
         let plan = Plan { views, dispatchers, chunk: Some(37), indented: true, held: 0 };
         Discovery::serve(hosts, plan, calls).await
--- a/stand-ins/src/discovery/calls.rs
+++ b/stand-ins/src/discovery/calls.rs
@@ -34,8 +34,8 @@
     /// Serves the connection to its end.
     pub(super) async fn serve(mut self) {
         let tally = self.discovery.tally.clone();
-        tally.add(self.seen.hollow, Count::Accepted, 1);
-        let _open = tally.hold(self.seen.hollow, Level::Connections);
+        tally.add(self.seen.side, Count::Accepted, 1);
+        let _open = tally.hold(self.seen.side, Level::Connections);
         if self.cut() == Some(Cut::Both) {
             // It never came up, and is reset once it could.
             self.whole().await;
@@ -66,15 +66,15 @@
     }
 
     async fn converse(&mut self) -> io::Result<()> {
-        let (tally, hollow) = (self.discovery.tally.clone(), self.seen.hollow);
+        let (tally, side) = (self.discovery.tally.clone(), self.seen.side);
         while let Some(request) = self.connection.read().await? {
             if self.cut() == Some(Cut::Both) && !self.passes().await {
                 return Ok(());
             }
-            tally.add(hollow, Count::BytesIn, request.bytes);
-            let under_way = tally.hold(hollow, Level::Calls);
+            tally.add(side, Count::BytesIn, request.bytes);
+            let under_way = tally.hold(side, Level::Calls);
             let watches = request.target.contains("stream=1");
-            tally.add(hollow, if watches { Count::WatchCalls } else { Count::ListCalls }, 1);
+            tally.add(side, if watches { Count::WatchCalls } else { Count::ListCalls }, 1);
             let mut resumed = self.discovery.resumed.subscribe();
             let (changes, planned, (first, kind)) = {
                 let mut state = self.discovery.state.lock().expect("no holder panics");
@@ -108,19 +108,19 @@
             if !self.passes().await {
                 return Ok(());
             }
-            tally.add(hollow, kind, 1);
+            tally.add(side, kind, 1);
             if !watches {
                 let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", first.len());
-                tally.add(hollow, Count::BytesOutLists, head.len() + first.len());
+                tally.add(side, Count::BytesOutLists, head.len() + first.len());
                 self.connection.raw(&[head.as_bytes(), first.as_bytes()].concat()).await?;
                 continue;
             }
             let head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
-            tally.add(hollow, bytes_of(kind), head.len());
+            tally.add(side, bytes_of(kind), head.len());
             self.connection.raw(head).await?;
             self.line(&first, kind).await?;
             drop(under_way);
-            let _open = tally.hold(hollow, Level::Watches);
+            let _open = tally.hold(side, Level::Watches);
             return self.watch(planned, resumed, changes).await;
         }
         Ok(())
@@ -158,19 +158,19 @@
                 Ok(Ok(Change::Told(lines))) => (lines[self.view].as_str(), Count::Changes),
                 Ok(Ok(Change::Broken) | Err(_)) => return Ok(()),
             };
-            self.discovery.tally.add(self.seen.hollow, kind, 1);
+            self.discovery.tally.add(self.seen.side, kind, 1);
             self.line(line, kind).await?;
         }
     }
 
     /// Writes a line of the watch, in chunks where the plan says so.
     async fn line(&mut self, text: &str, kind: Count) -> io::Result<()> {
-        let (tally, hollow) = (self.discovery.tally.clone(), self.seen.hollow);
+        let (tally, side) = (self.discovery.tally.clone(), self.seen.side);
         let line = [text.as_bytes(), b"\n"].concat();
         for part in line.chunks(self.discovery.plan.chunk.unwrap_or(line.len())) {
             let head = format!("{:x}\r\n", part.len());
             let bytes = [head.as_bytes(), part, b"\r\n"].concat();
-            tally.add(hollow, bytes_of(kind), bytes.len());
+            tally.add(side, bytes_of(kind), bytes.len());
             self.connection.raw(&bytes).await?;
         }
         Ok(())
--- a/stand-ins/src/hollow/connections.rs
+++ b/stand-ins/src/hollow/connections.rs
@@ -34,17 +34,17 @@
 
 /// Serves a connection to its end or the runner's.
 pub async fn serve(runner: Arc<Runner>, view: usize, stream: TcpStream, mut life: Life) {
-    let hollow = runner.shared.views[view].hollow;
+    let side = runner.shared.views[view].side;
     let tally = &runner.shared.tally;
-    tally.add(hollow, Count::Accepted, 1);
-    tally.up(hollow, Level::Connections);
+    tally.add(side, Count::Accepted, 1);
+    tally.up(side, Level::Connections);
     let mut connection = Connection::new(stream);
     let reset = tokio::select! {
         biased;
         _ = life.changed() => true,
         reset = converse(&runner, view, &mut connection) => matches!(reset, Ok(true)),
     };
-    tally.down(hollow, Level::Connections);
+    tally.down(side, Level::Connections);
     if reset {
         connection.reset();
     }
@@ -53,7 +53,7 @@
 /// Whether it is to end by a reset.
 async fn converse(runner: &Arc<Runner>, view: usize, connection: &mut Connection) -> io::Result<bool> {
     let shared = &runner.shared;
-    let (region, hollow) = (shared.views[view].region, shared.views[view].hollow);
+    let (region, side) = (shared.views[view].region, shared.views[view].side);
     let (link, tally) = (&shared.link, &shared.tally);
     let cut = || link.cut(region, runner.region);
     let whole = || link.whole(region, runner.region);
@@ -65,7 +65,7 @@
     loop {
         let Ok(read) = tokio::time::timeout(shared.manner.idle, connection.read()).await else {
             whole().await;
-            tally.add(hollow, Count::IdleClosed, 1);
+            tally.add(side, Count::IdleClosed, 1);
             return Ok(false);
         };
         let Some(message) = read? else { return Ok(false) };
@@ -82,13 +82,13 @@
                 () = whole() => {}
                 () = connection.end() => {
                     if let Some(job) = answer.job {
-                        runner.give_up(hollow, message.header("x-request-id"), Some(job));
+                        runner.give_up(side, message.header("x-request-id"), Some(job));
                     }
                     return Ok(false);
                 }
             }
         }
-        tally.add(hollow, answer.kind, answer.bytes.len());
+        tally.add(side, answer.kind, answer.bytes.len());
         connection.raw(&answer.bytes).await?;
         if message.header("connection").eq_ignore_ascii_case("close") {
             return Ok(false);
@@ -97,34 +97,34 @@
 }
 
 fn answer(runner: &Arc<Runner>, view: usize, message: &Message) -> Answer {
-    let (shared, hollow) = (&runner.shared, runner.shared.views[view].hollow);
+    let (shared, side) = (&runner.shared, runner.shared.views[view].side);
     let tally = &shared.tally;
     let path = message.target.split('?').next().unwrap_or("");
     let (manner, probing) = (&shared.manner, shared.manner.probing);
     let probe = |body: &str| {
-        tally.add(hollow, Count::Probes, 1);
-        tally.add(hollow, Count::BytesInProbes, message.bytes);
+        tally.add(side, Count::Probes, 1);
+        tally.add(side, Count::BytesInProbes, message.bytes);
         Answer::new(Count::BytesOutProbes, if probing { "200 OK" } else { "404 Not Found" }, body)
     };
     match (message.method.as_str(), path) {
         ("DELETE", path) if path.starts_with("/jobs/") => {
-            tally.add(hollow, Count::GiveUps, 1);
-            tally.add(hollow, Count::BytesInGiveUps, message.bytes);
-            runner.give_up(hollow, &path["/jobs/".len()..], None);
+            tally.add(side, Count::GiveUps, 1);
+            tally.add(side, Count::BytesInGiveUps, message.bytes);
+            runner.give_up(side, &path["/jobs/".len()..], None);
             Answer::new(Count::BytesOutGiveUps, "200 OK", "")
         }
         ("GET", "/alive") => probe(""),
         ("GET", "/metrics/load") => match probing && manner.reports.1 {
             true => {
                 let report = manner.report(&runner.load()).to_string();
-                tally.add(hollow, Count::BytesOutReports, report.len());
+                tally.add(side, Count::BytesOutReports, report.len());
                 probe(&report)
             }
             false => probe(""),
         },
         ("POST", _) => request(runner, view, message),
         _ => {
-            tally.add(hollow, Count::Answers404, 1);
+            tally.add(side, Count::Answers404, 1);
             Answer::new(Count::BytesOutRequests, "404 Not Found", "")
         }
     }
@@ -132,26 +132,26 @@
 
 /// Takes a request, if it is one: of a form that a client has sent, and from the dispatcher that its id names.
 fn request(runner: &Arc<Runner>, view: usize, message: &Message) -> Answer {
-    let (shared, hollow) = (&runner.shared, runner.shared.views[view].hollow);
+    let (shared, side) = (&runner.shared, runner.shared.views[view].side);
     let tally = &shared.tally;
-    tally.add(hollow, Count::Requests, 1);
-    tally.add(hollow, Count::BytesInRequests, message.bytes);
+    tally.add(side, Count::Requests, 1);
+    tally.add(side, Count::BytesInRequests, message.bytes);
     let id = message.header("x-request-id");
     if id.is_empty() || !message.target.starts_with("/api") {
-        tally.add(hollow, Count::Answers404, 1);
+        tally.add(side, Count::Answers404, 1);
         return Answer::new(Count::BytesOutRequests, "404 Not Found", "");
     }
     let own = shared.dispatcher(id).is_some_and(|number| shared.dispatchers[number].view == view);
     let work = serde_json::from_str::<Work>(&message.body);
     let Some(work) = work.ok().filter(|_| own) else {
-        tally.add(hollow, Count::Answers400, 1);
+        tally.add(side, Count::Answers400, 1);
         return Answer::new(Count::BytesOutRequests, "400 Bad Request", "");
     };
     if runner.holds(id) {
         // Perhaps sent again by a library: it runs, as on the platform, and is seen.
-        tally.add(hollow, Count::Copies, 1);
+        tally.add(side, Count::Copies, 1);
     }
-    let job = runner.take(hollow, id, work.work_us);
-    tally.add(hollow, Count::Answers202, 1);
+    let job = runner.take(side, id, work.work_us);
+    tally.add(side, Count::Answers202, 1);
     Answer { job: Some(job), ..Answer::new(Count::BytesOutRequests, "202 Accepted", "") }
 }
--- a/stand-ins/src/hollow/runner.rs
+++ b/stand-ins/src/hollow/runner.rs
@@ -7,6 +7,7 @@
 use super::slots::{GivenUp, Load, Slots, Start};
 use super::telling::Resting;
 use super::{Planned, connections};
+use crate::tally::Side;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
@@ -133,14 +134,14 @@
         life.closed().await;
         let shared = &self.shared;
         for resting in held(&self.resting).drain(..) {
-            shared.tally.down(shared.hollow(resting.dispatcher), Level::Resting);
+            shared.tally.down(shared.side(resting.dispatcher), Level::Resting);
             resting.connection.reset();
         }
         for (id, ran) in held(&self.slots).lose() {
             if let Some(dispatcher) = shared.dispatcher(&id) {
-                let hollow = shared.hollow(dispatcher);
-                shared.tally.add(hollow, Count::Lost, 1);
-                shared.tally.down(hollow, if ran { Level::Running } else { Level::Queued });
+                let side = shared.side(dispatcher);
+                shared.tally.add(side, Count::Lost, 1);
+                shared.tally.down(side, if ran { Level::Running } else { Level::Queued });
             }
         }
         *held(&self.standing) = Standing::Down(sockets);
@@ -148,25 +149,25 @@
     }
 
     /// Takes a request of a dispatcher on this side: the number that it has here.
-    pub fn take(self: &Arc<Self>, hollow: bool, id: &str, work_us: u64) -> u64 {
-        self.shared.tally.up(hollow, Level::Queued);
+    pub fn take(self: &Arc<Self>, side: Side, id: &str, work_us: u64) -> u64 {
+        self.shared.tally.up(side, Level::Queued);
         let (job, start) = held(&self.slots).take(self.shared.now_us(), id, work_us);
         self.begin(start);
         job
     }
 
     /// A request is given up, by its id or, before it was answered, by its number here.
-    pub fn give_up(&self, hollow: bool, id: &str, job: Option<u64>) {
+    pub fn give_up(&self, side: Side, id: &str, job: Option<u64>) {
         let given_up = match job {
             Some(job) => held(&self.slots).withdraw(job),
             None => held(&self.slots).give_up(id),
         };
         match given_up {
             GivenUp::Waiting => {
-                self.shared.tally.down(hollow, Level::Queued);
-                self.shared.tally.add(hollow, Count::GivenUpWaiting, 1);
+                self.shared.tally.down(side, Level::Queued);
+                self.shared.tally.add(side, Count::GivenUpWaiting, 1);
             }
-            GivenUp::Running => self.shared.tally.add(hollow, Count::GivenUpRunning, 1),
+            GivenUp::Running => self.shared.tally.add(side, Count::GivenUpRunning, 1),
             GivenUp::Unknown => {}
         }
     }
@@ -183,12 +184,12 @@
     fn begin(self: &Arc<Self>, start: Option<Start>) {
         let Some(start) = start else { return };
         let Some(dispatcher) = self.shared.dispatcher(&start.id) else { return };
-        let (hollow, tally) = (self.shared.hollow(dispatcher), &self.shared.tally);
-        tally.down(hollow, Level::Queued);
-        tally.up(hollow, Level::Running);
+        let (side, tally) = (self.shared.side(dispatcher), &self.shared.tally);
+        tally.down(side, Level::Queued);
+        tally.up(side, Level::Running);
         // One that just vanished begins nothing: it is lost with the rest.
         let Standing::Up { life, .. } = &*held(&self.standing) else { return };
-        tally.add(hollow, Count::Started, 1);
+        tally.add(side, Count::Started, 1);
         (self.shared.began)(&start.id, self.number);
         let mut life = life.subscribe();
         let runner = self.clone();
@@ -202,13 +203,13 @@
     }
 
     async fn run(self: &Arc<Self>, dispatcher: usize, start: Start) {
-        let (hollow, tally) = (self.shared.hollow(dispatcher), &self.shared.tally);
+        let (side, tally) = (self.shared.side(dispatcher), &self.shared.tally);
         // Its slot is free at its end, however long its dispatcher is deaf.
         let work = async {
             tokio::time::sleep_until(self.shared.epoch + Duration::from_micros(start.ends_us)).await;
             let ended = held(&self.slots).end(self.shared.now_us(), start.job);
-            tally.down(hollow, Level::Running);
-            tally.add(hollow, Count::Ended, 1);
+            tally.down(side, Level::Running);
+            tally.add(side, Count::Ended, 1);
             ended.is_some_and(|ended| {
                 self.begin(ended.next);
                 ended.wanted
--- a/stand-ins/src/hollow/shared.rs
+++ b/stand-ins/src/hollow/shared.rs
@@ -5,6 +5,7 @@
 use super::manner::Manner;
 use super::{Began, Dispatcher, View};
 use crate::link::Link;
+use crate::tally::Side;
 use tokio::time::Instant;
 
 /// What all runners have in common.
@@ -33,8 +34,8 @@
     }
 
     /// The side of a dispatcher.
-    pub fn hollow(&self, dispatcher: usize) -> bool {
-        self.view(dispatcher).hollow
+    pub fn side(&self, dispatcher: usize) -> Side {
+        self.view(dispatcher).side
     }
 
     pub fn now_us(&self) -> u64 {
--- a/stand-ins/src/hollow/telling.rs
+++ b/stand-ins/src/hollow/telling.rs
@@ -23,7 +23,7 @@
     /// Tells a dispatcher of a request, again until it answers, ten times at the most. While the link is cut it
     /// waits, and begins again when it is whole.
     pub async fn tell(&self, dispatcher: usize, id: &str, state: &str) {
-        let (shared, hollow) = (&self.shared, self.shared.hollow(dispatcher));
+        let (shared, side) = (&self.shared, self.shared.side(dispatcher));
         let region = shared.view(dispatcher).region;
         let mut body = json!({"id": id, "from": self.name, "state": state});
         // The object that ends an attempt may carry a report.
@@ -36,12 +36,12 @@
             }
         }
         let body = body.to_string();
-        shared.tally.add(hollow, Count::CallBacks, 1);
+        shared.tally.add(side, Count::CallBacks, 1);
         let mut tries = 0;
         while tries < TRIES {
             shared.link.whole(region, self.region).await;
-            shared.tally.add(hollow, Count::CallBackTries, 1);
-            shared.tally.add(hollow, Count::BytesOutReports, reported);
+            shared.tally.add(side, Count::CallBackTries, 1);
+            shared.tally.add(side, Count::BytesOutReports, reported);
             let exchange = self.exchange(dispatcher, body.as_bytes());
             let answered = tokio::time::timeout(shared.manner.answer, exchange).await;
             if shared.link.cut(region, self.region).is_some() {
@@ -54,29 +54,29 @@
             tries += 1;
             tokio::time::sleep(shared.manner.pause).await;
         }
-        shared.tally.add(hollow, Count::CallBacksUnheard, 1);
+        shared.tally.add(side, Count::CallBacksUnheard, 1);
     }
 
     async fn exchange(&self, dispatcher: usize, body: &[u8]) -> io::Result<u16> {
-        let (shared, hollow) = (&self.shared, self.shared.hollow(dispatcher));
+        let (shared, side) = (&self.shared, self.shared.side(dispatcher));
         let mut connection = match self.rested(dispatcher) {
             Some(connection) => connection,
             None => {
                 let at = shared.dispatchers[dispatcher].listen;
                 let opened = Connection::open(at, shared.manner.connect).await?;
-                shared.tally.add(hollow, Count::Opened, 1);
+                shared.tally.add(side, Count::Opened, 1);
                 opened
             }
         };
         let head = "POST /v1/job-events HTTP/1.1\r\nHost: dispatcher\r\nContent-Type: application/json";
         let mut message = format!("{head}\r\nContent-Length: {}\r\n\r\n", body.len()).into_bytes();
         message.extend_from_slice(body);
-        shared.tally.add(hollow, Count::BytesOutCallBacks, message.len());
+        shared.tally.add(side, Count::BytesOutCallBacks, message.len());
         connection.raw(&message).await?;
         let answer = connection.read().await?.ok_or(io::ErrorKind::UnexpectedEof)?;
-        shared.tally.add(hollow, Count::BytesInCallBacks, answer.bytes);
+        shared.tally.add(side, Count::BytesInCallBacks, answer.bytes);
         if !answer.header("connection").eq_ignore_ascii_case("close") {
-            shared.tally.up(hollow, Level::Resting);
+            shared.tally.up(side, Level::Resting);
             let mut resting = self.resting.lock().expect("no holder panics");
             resting.push(Resting { dispatcher, connection, since: Instant::now() });
         }
@@ -88,7 +88,7 @@
         let mut resting = self.resting.lock().expect("no holder panics");
         while let Some(place) = resting.iter().rposition(|resting| resting.dispatcher == dispatcher) {
             let mut found = resting.remove(place);
-            self.shared.tally.down(self.shared.hollow(dispatcher), Level::Resting);
+            self.shared.tally.down(self.shared.side(dispatcher), Level::Resting);
             if !found.connection.ended() {
                 return Some(found.connection);
             }
@@ -106,7 +106,7 @@
             let cut = shared.link.cut(region, self.region).is_some();
             let keep = cut || resting.since.elapsed() < rest && !resting.connection.ended();
             if !keep {
-                shared.tally.down(shared.hollow(resting.dispatcher), Level::Resting);
+                shared.tally.down(shared.side(resting.dispatcher), Level::Resting);
             }
             keep
         });
--- a/stand-ins/src/link.rs
+++ b/stand-ins/src/link.rs
@@ -1,6 +1,7 @@
 //! The link between regions: whole, or silent one way or both. It owns that state and the waiting for it; it must
 //! never touch a connection.
 
+use crate::tally::Side;
 use tokio::sync::watch;
 
 /// How the link is cut.
@@ -18,8 +19,8 @@
 pub struct View {
     /// The region that they stand in.
     pub region: usize,
-    /// Whether they are hollow themselves: what they cause is counted apart.
-    pub hollow: bool,
+    /// What they cause is counted under this.
+    pub side: Side,
 }
 
 /// The link.
--- a/stand-ins/tests/common/mod.rs
+++ b/stand-ins/tests/common/mod.rs
@@ -6,6 +6,7 @@
 use sablerun_stand_ins::hollow::manner::Manner;
 use sablerun_stand_ins::hollow::{Dispatcher, Planned, Runners, View};
 use sablerun_stand_ins::http::{Connection, Message};
+use sablerun_stand_ins::tally::Side;
 use serde_json::{Value, json};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -24,8 +25,8 @@
 
 /// Two regions, real and hollow dispatchers in each.
 pub fn views() -> Vec<View> {
-    let view = |region, hollow| View { region, hollow };
-    vec![view(0, false), view(0, true), view(1, false), view(1, true)]
+    let view = |region, side| View { region, side };
+    vec![view(0, Side::Real), view(0, Side::Hollow), view(1, Side::Real), view(1, Side::Hollow)]
 }
 
 /// What an [`Ear`] answers a call-back with; `None` ends the connection.
