Test: what is out at the stream's end is open in the records and given up at the runners

Need: the mended end of the clients' part had no test. Change: twelve requests that run for an hour, real and hollow; End must count all as open and none as out, and the runners must hear each given up.

--- a/lab/tests/hollow.rs
+++ b/lab/tests/hollow.rs
@@ -204,3 +204,22 @@
     assert_eq!(real.acted.len(), DISPATCHERS * 5);
     assert_eq!(real, hollow);
 }
+
+#[test]
+fn what_is_out_at_the_end_is_open_and_given_up() {
+    for hollow in [false, true] {
+        let mut layout = scene::layout(&format!("hollow-end-{hollow}"), 2, DISPATCHERS, hollow);
+        layout.stream = Stream { fill: 12, fill_s: 0.1, work_mean_s: 3600.0, ..layout.stream };
+        let arrivals = |n| Arrivals::new(&layout.stream, layout.seed, n, layout.dispatchers[n].share).count();
+        let due = (0..DISPATCHERS).map(arrivals).sum::<usize>() as f64;
+        let mut stage = Stage::start(&layout);
+        let _real = (!hollow).then(|| Real::start(&layout, &stage.begin.discovery));
+        let mut part = Part::start(if hollow { "dispatchers" } else { "clients" });
+        part.begin(&stage.begin);
+        part.command(&Command::Play);
+        until("all run", || stage.counted(hollow)["running_now"] == due);
+        let counts = part.command(&Command::End).values;
+        assert_eq!((counts["requests.open"], counts["requests.out"]), (due, 0.0));
+        until("all are given up", || stage.counted(hollow)["given_up_running"] == due);
+    }
+}
