Build the lab by a command of its own: the dispatcher got its multi-thread tokio

Cause: cargo builds a shared crate once for all packages of a command, with the features that any of them asks for.

On real sockets there is no difference: `check serve` under strace, deploy build, `rt-multi-thread` and the workspace's: the same calls, no EBADF, all served.

The lab needs its threads, and stating them in the node would make the deploy build the worse program.

--- a/lab/src/fleet.rs
+++ b/lab/src/fleet.rs
@@ -57,10 +57,7 @@
     if let Some(found) = [Some(beside.clone()), above].into_iter().flatten().find(|path| path.is_file()) {
         return Ok(found);
     }
-    Err(format!(
-        "{}: no such program; build it first: cargo build --release --workspace --locked",
-        beside.display()
-    ))
+    Err(format!("{}: no such program; build it first: cargo build --release --locked", beside.display()))
 }
 
 /// The settings of an installation as a dispatcher is given them.
