--- a/node/src/net/discovery.rs
+++ b/node/src/net/discovery.rs
@@ -86,16 +86,7 @@
         let Some(runtime) = self.runtime.upgrade() else { return };
         let mut listed = Vec::with_capacity(hosts.hosts.len());
         for host in hosts.hosts {
-            let standing = match host.health.as_str() {
-                "active" => sr::Standing::Ready,
-                "leaving" => sr::Standing::Draining,
-                "left" => sr::Standing::Gone,
-                other => {
-                    // Whatever it means, it is not a call for work.
-                    log::warn!("discovery says {other:?} of runner {}: taken for draining", host.host);
-                    sr::Standing::Draining
-                }
-            };
+            let standing = host.standing();
             match host.dial.parse() {
                 Ok(at) => self.runners.address(&host.host, at),
                 Err(e) if standing == sr::Standing::Ready => {
