--- a/node/src/net/hosts.rs
+++ b/node/src/net/hosts.rs
@@ -1,5 +1,7 @@
 //! The list of runners as discovery and the configuration write it. It owns that form, not what it means.
 
+use sablerun as sr;
+
 /// A list or a change of it, as discovery writes it.
 #[derive(Clone, Debug, Default, serde::Deserialize)]
 pub struct Hosts {
@@ -28,3 +30,19 @@
     #[serde(default)]
     pub born_ms: u64,
 }
+
+impl Host {
+    /// How it stands by what its entry says.
+    pub fn standing(&self) -> sr::Standing {
+        match self.health.as_str() {
+            "active" => sr::Standing::Ready,
+            "leaving" => sr::Standing::Draining,
+            "left" => sr::Standing::Gone,
+            other => {
+                // Whatever it means, it is not a call for work.
+                log::warn!("discovery says {other:?} of runner {}: taken for draining", self.host);
+                sr::Standing::Draining
+            }
+        }
+    }
+}
