--- a/lab/src/scale/part_clients.rs
+++ b/lab/src/scale/part_clients.rs
@@ -74,9 +74,10 @@
             Command::Play => self.play(Instant::now()),
             Command::End => {
                 self.answers.over();
-                // With a stream its requests end too, and their connections with them.
+                // With a stream its requests end too, and their connections with them: each as its task is
+                // next looked at.
                 self.streams.shutdown().await;
-                // Its requests are told to end only then, and each writes its row when it does.
+                // A row is written a moment after its connection has gone: the rows are waited for.
                 while self.answers.counts()["requests.out"] > 0.0 {
                     tokio::time::sleep(LOOK).await;
                 }
