--- a/lab/tests/parts.rs
+++ b/lab/tests/parts.rs
@@ -42,7 +42,8 @@
     let layout = layout("runners", ear.local_addr().unwrap());
     let starts = layout.folder.join("starts.csv");
     let mut part = Part::start("runners");
-    let ready = part.begin(&Begin { layout, dial: Vec::new(), discovery: Vec::new() });
+    let ready =
+        part.begin(&Begin { layout, dial: Vec::new(), discovery: Vec::new(), operator: String::new() });
     assert_eq!(ready.dial.iter().map(Vec::len).collect::<Vec<_>>(), [4, 4]);
 
     let own = view(1, true);
@@ -86,7 +87,7 @@
     layout.settings["kinds"] = json!(["k4-full"]);
     let dial = |runner: u16| (0..4).map(move |view| SocketAddr::from(([10, 0, 0, 1], 100 * runner + view)));
     let dial: Vec<Vec<SocketAddr>> = (1..=2).map(|runner| dial(runner).collect()).collect();
-    let begin = Begin { layout, dial, discovery: Vec::new() };
+    let begin = Begin { layout, dial, discovery: Vec::new(), operator: String::new() };
     let mut part = Part::start("discovery");
     let ready = part.begin(&begin);
     assert_eq!(ready.discovery.len(), 1);
