--- a/node/src/core/digest.rs
+++ b/node/src/core/digest.rs
@@ -9,15 +9,32 @@
 /// A digest that is followed.
 pub(super) struct Digest {
     follower: Follower,
-    /// A digest without a frame for so long is not believed.
+    /// Time between two frames, and the time without one after which it is not believed.
+    every: sr::Span,
     silent: sr::Span,
     heard: Option<sr::Time>,
 }
 
+impl Digest {
+    fn fresh(&self, now: sr::Time) -> bool {
+        self.heard.is_some_and(|heard| now - heard <= self.silent)
+    }
+}
+
 impl<J: Clone> Core<J> {
-    /// Follows a digest from now on; it holds for so long after each frame.
-    pub fn follow_digest(&mut self, silent: sr::Span) {
-        self.digest = Some(Digest { follower: Follower::default(), silent, heard: None });
+    /// Follows a digest from now on, with a frame each `every`; it holds for so long after each frame.
+    pub fn follow_digest(&mut self, every: sr::Span, silent: sr::Span) {
+        self.digest = Some(Digest { follower: Follower::default(), every, silent, heard: None });
+    }
+
+    /// How old a runner's report is at the most: told to the module when it changes, since its age is what a
+    /// report is believed by.
+    fn age_of_reports(&mut self, now: sr::Time) {
+        let age = self.digest.as_ref().filter(|digest| digest.fresh(now)).map(|digest| digest.every);
+        if self.settings.report_age != age {
+            self.settings.report_age = age;
+            self.events.push_back(sr::Event::Retuned(Box::new(self.settings.clone())));
+        }
     }
 
     /// A frame has come. One that leaves a gap is not believed, nor is what came before it any more.
@@ -26,6 +43,7 @@
         match digest.follower.take(frame) {
             Taken::Changed(loads) => {
                 digest.heard = Some(now);
+                self.age_of_reports(now);
                 loads.iter().for_each(|load| self.digest_tells(now, load));
             }
             // An earlier publisher's or a repeat: no sign that what is held is up to date.
@@ -39,9 +57,13 @@
 
     /// Whether a fresh digest covers a runner: then the module hears what the digest has, and no probe goes out.
     pub(super) fn digest_answers(&mut self, now: sr::Time, worker: sr::WorkerId) -> bool {
+        self.age_of_reports(now);
         let name = self.tables.workers.name(worker.0);
-        let fresh = |digest: &&Digest| digest.heard.is_some_and(|heard| now - heard <= digest.silent);
-        let load = self.digest.as_ref().filter(fresh).and_then(|digest| digest.follower.load_of(name));
+        let load = self
+            .digest
+            .as_ref()
+            .filter(|digest| digest.fresh(now))
+            .and_then(|digest| digest.follower.load_of(name));
         let Some(load) = load else { return false };
         let event = self.digest_event(worker, &load);
         self.events.push_back(event);
--- a/node/src/core/retune.rs
+++ b/node/src/core/retune.rs
@@ -39,7 +39,8 @@
         self.with_tenants = !settings.tenants.is_empty();
         let before = self.settings.classes.len();
         let renewed = renew(&self.settings, &mut self.tables, settings, &tables);
-        self.settings = renewed.settings;
+        let report_age = self.settings.report_age;
+        self.settings = sr::Settings { report_age, ..renewed.settings };
         for (number, rule) in renewed.classes.iter().zip(rules) {
             if let Some(store) = self.keys.as_mut().filter(|_| *number as usize >= before) {
                 store.add_class(rule);
--- a/node/src/net/digest.rs
+++ b/node/src/net/digest.rs
@@ -9,6 +9,7 @@
 use awc::Client;
 use awc::http::StatusCode;
 use futures_util::StreamExt;
+use sablerun as sr;
 use sablerun_digest::Stream;
 use std::net::SocketAddr;
 use std::rc::{Rc, Weak};
@@ -39,7 +40,7 @@
             silent: section.silent(),
             anew: Notify::new(),
         });
-        runtime.set_digests(digest.clone(), digest.silent);
+        runtime.set_digests(digest.clone(), section.every(), sr::Span::from_secs(section.silent_s));
         actix_rt::spawn(async move { digest.keep_up().await });
     }
 
--- a/node/src/operator.rs
+++ b/node/src/operator.rs
@@ -28,6 +28,9 @@
 pub struct Digest {
     /// Where the publisher listens.
     pub at: SocketAddr,
+    /// Time between two frames, as the publisher has it, in seconds.
+    #[serde(default = "default_every")]
+    pub every_s: f64,
     /// Time without a frame after which it is not believed, in seconds.
     #[serde(default = "default_silent")]
     pub silent_s: f64,
@@ -158,10 +161,18 @@
 
 impl Digest {
     pub fn check(&self) -> Result<(), String> {
-        match (0.1..=60.0).contains(&self.silent_s) {
-            true => Ok(()),
-            false => Err("silent_s: from 0.1 to 60".to_owned()),
+        if !(0.1..=60.0).contains(&self.every_s) {
+            return Err("every_s: from 0.1 to 60".to_owned());
+        }
+        if !(self.every_s..=300.0).contains(&self.silent_s) {
+            return Err("silent_s: from every_s to 300".to_owned());
         }
+        Ok(())
+    }
+
+    /// Time between two frames.
+    pub fn every(&self) -> sr::Span {
+        sr::Span::from_secs(self.every_s)
     }
 
     /// Time without a frame after which it is not believed.
--- a/node/src/runtime.rs
+++ b/node/src/runtime.rs
@@ -89,9 +89,9 @@
         *self.roster.borrow_mut() = Some(roster);
     }
 
-    /// Follows a digest, which is believed for so long after each frame.
-    pub fn set_digests(&self, digests: Rc<dyn Digests>, silent: Duration) {
-        self.core.borrow_mut().follow_digest(sr::Span(silent.as_nanos() as u64));
+    /// Follows a digest with a frame each `every`, which is believed for so long after each.
+    pub fn set_digests(&self, digests: Rc<dyn Digests>, every: sr::Span, silent: sr::Span) {
+        self.core.borrow_mut().follow_digest(every, silent);
         *self.digests.borrow_mut() = Some(digests);
     }
 
--- a/node/tests/digest.rs
+++ b/node/tests/digest.rs
@@ -11,6 +11,7 @@
 const RUNNERS: usize = 40;
 const SLOTS: f64 = 4.0;
 const START: sr::Time = sr::Time(1_000_000_000_000);
+const EVERY: sr::Span = sr::Span(1_000_000_000);
 const SILENT: sr::Span = sr::Span(3_000_000_000);
 
 fn name(n: usize) -> String {
@@ -61,7 +62,7 @@
         let core = Core::new(settings, tables, roster, 1, START, 1000).unwrap();
         let mut world = World { core, now: START, probes: 0, asked: 0, started: BTreeMap::new() };
         if digest {
-            world.core.follow_digest(SILENT);
+            world.core.follow_digest(EVERY, SILENT);
         }
         let listed = (0..RUNNERS).map(|n| Listed {
             name: name(n),
--- a/src/balance/ledger.rs
+++ b/src/balance/ledger.rs
@@ -8,7 +8,7 @@
 const PACE_HALF_LIFE: f64 = 6.0;
 /// Time in which peers without news are believed idle again, in seconds (8, 30 and 120 were tried).
 const FORGET: f64 = 30.0;
-/// Gain of one sight in what a worker's peers show of their queues; how much a report tells of the present.
+/// Gain of one sight in what peers show of their queues; how little a report tells that is old beside the work.
 const SIGHT: (f64, f64) = (0.2, 0.5);
 
 impl Balancer {
@@ -63,15 +63,16 @@
             return;
         }
         let (running, peers) = (self.workers[i].load.running, &mut self.peers[self.workers[i].group]);
-        let (room, usual) = (peers.slots, peers.others);
-        peers.slots = room.max(report.free_slots.map_or(0.0, f64::round));
-        peers.free = peers.free.max(report.free_slots.unwrap_or(0.0));
+        let (room, usual, free) = (peers.slots, peers.others, report.free_slots.unwrap_or(0.0));
+        (peers.slots, peers.free) = (room.max(free.round()), peers.free.max(free));
         let used = match (report.free_slots, report.inflight) {
             (Some(free), _) if free >= 0.5 => Some(room - free),
             (Some(_), Some(inflight)) => Some(inflight.max(room)),
             (_, inflight) => inflight,
         };
-        used.into_iter().for_each(|used| self.see_others(i, usual + SIGHT.1 * (used - running - usual)));
+        let aged = |age: Span| age.secs() / (age.secs() + self.mean_work[0]);
+        let tells = 1.0 - SIGHT.1 * self.settings.report_age.map_or(1.0, aged);
+        used.into_iter().for_each(|used| self.see_others(i, usual + tells * (used - running - usual)));
         // Errors a second, but for a single one, beside what is in hand: the whole fleet's losses, not own.
         if let (Some(errors), Some(inflight)) = (report.errors_per_s, report.inflight) {
             let share = (errors - 1.0) / (errors + inflight / self.mean_work[0]).max(1.0);
@@ -87,8 +88,9 @@
     /// Whether a worker gets nothing for now by choice: it is suspect, or fails most of what it gets.
     pub fn avoids(&self, worker: WorkerId) -> bool {
         let i = worker.0 as usize;
-        let known = self.workers.get(i);
-        known.is_some_and(|w| w.trial.is_some() || self.missed(i, 0) - self.erring >= MISS_LIMIT)
+        self.workers
+            .get(i)
+            .is_some_and(|w| w.trial.is_some() || self.missed(i, 0) - self.erring >= MISS_LIMIT)
     }
 
     pub(super) fn start_seen(&mut self, i: usize, prompt: bool) {
--- a/src/interface/settings.rs
+++ b/src/interface/settings.rs
@@ -158,6 +158,8 @@
     /// How long from the start a saved list may be used where lists are asked for. The sockets' protocol does not
     /// tell how old it is, so that it may have missed any change: none there. The simulator's rules allow more.
     pub saved_within: Span,
+    /// How old a report of any worker is at the most while all of them keep coming; none where they come by chance.
+    pub report_age: Option<Span>,
     /// Only an entry that says draining binds; one that is gone or left out may still be sent to.
     pub drain_binds_alone: bool,
     /// A worker starts at this share of its capacity or above.
@@ -201,6 +203,7 @@
             told_within: Span::from_secs(3.3),
             lost_within: Span::from_secs(5.8),
             saved_within: Span(0),
+            report_age: None,
             drain_binds_alone: false,
             cold_from: 0.1,
             warm_after: Span::from_secs(30.0),
