Scale run: starts beyond 2 ms were told as 2 us; processor time as the scheduler counts it

It has bounds now, an hour; the new test was red before. Ticks of 10 ms told 0.2% of a core by two ticks a process; the sum of the threads' schedstat tells nanoseconds.

--- a/lab/src/scale/costs.rs
+++ b/lab/src/scale/costs.rs
@@ -47,7 +47,7 @@
     let [before, after] = &played.samples;
     let mut set = |figure: &str, value: f64| values.insert(format!("{name}.{figure}"), value / over);
     if let Some(spent) = before.spent(after, process) {
-        set("cpu_pct", spent.user_pct + spent.system_pct);
+        set("cpu_pct", spent.cpu_pct);
         set("cpu_user_pct", spent.user_pct);
         set("cpu_system_pct", spent.system_pct);
     }
@@ -62,7 +62,7 @@
     if let Some(usage) = played.settled.usage.get(process) {
         // Start and lists, before any request.
         set("started.rss_mb", usage.rss_mb);
-        set("started.cpu_s", usage.user_s + usage.system_s);
+        set("started.cpu_s", usage.cpu_s);
     }
 }
 
--- a/lab/src/scale/figures.rs
+++ b/lab/src/scale/figures.rs
@@ -18,6 +18,9 @@
 /// The operators' bound on the start of urgent work, in microseconds.
 const SOON_US: u64 = 1_300_000;
 
+/// The longest wait told apart, in microseconds.
+const LONGEST_US: u64 = 3_600_000_000;
+
 /// All figures of a point.
 pub fn figures(played: &Played, records: &Records) -> Values {
     let mut values = Values::new();
@@ -35,7 +38,7 @@
         values.insert(name.to_owned(), value);
     }
     answers(played, records, &mut values);
-    starts(played, records, &mut values);
+    starts(&records.requests, window(played), &mut values);
     orders(records, &mut values);
     changes(played, records, &mut values);
     costs::usage(played, &mut values);
@@ -85,12 +88,12 @@
 
 /// From taken to started. What has neither started nor been answered counts with the time for which it has waited
 /// by the end, which is less than it will be: to leave it out would make a queue look short.
-fn starts(played: &Played, records: &Records, values: &mut Values) {
-    let (begin, end) = window(played);
+pub fn starts(requests: &[Joined], (begin, end): (u64, u64), values: &mut Values) {
     for (name, class) in [("urgent", Some("urgent")), ("all", None)] {
-        let mut waits = Histogram::<u64>::new(3).expect("three digits are allowed");
+        // One that grows by itself would not for what is recorded saturating.
+        let mut waits = Histogram::<u64>::new_with_bounds(1, LONGEST_US, 3).expect("the bounds are in order");
         let (mut waiting, mut refused) = (0.0, 0.0);
-        for joined in &records.requests {
+        for joined in requests {
             let request = &joined.request;
             if !(begin..end).contains(&request.taken_us) || class.is_some_and(|class| request.class != class)
             {
--- a/lab/src/scale/sample.rs
+++ b/lab/src/scale/sample.rs
@@ -15,7 +15,9 @@
     pub anon_mb: f64,
     pub file_mb: f64,
     pub shmem_mb: f64,
-    /// Processor time since its start.
+    /// Processor time since its start, as the scheduler counts it, in nanoseconds.
+    pub cpu_s: f64,
+    /// Its parts, in the kernel's ticks of 10 ms.
     pub user_s: f64,
     pub system_s: f64,
     pub descriptors: f64,
@@ -35,6 +37,7 @@
 #[allow(missing_docs, reason = "the names say it")]
 pub struct Spent {
     /// Parts of a core, in percent.
+    pub cpu_pct: f64,
     pub user_pct: f64,
     pub system_pct: f64,
 }
@@ -58,6 +61,7 @@
         let (before, after) = (self.usage.get(name)?, later.usage.get(name)?);
         let seconds = (later.at_us - self.at_us) as f64 / 1e6;
         (before.id == after.id && seconds > 0.0).then(|| Spent {
+            cpu_pct: (after.cpu_s - before.cpu_s) / seconds * 100.0,
             user_pct: (after.user_s - before.user_s) / seconds * 100.0,
             system_pct: (after.system_s - before.system_s) / seconds * 100.0,
         })
@@ -75,8 +79,18 @@
         anon_mb: mb(status.rssanon),
         file_mb: mb(status.rssfile),
         shmem_mb: mb(status.rssshmem),
+        cpu_s: cpu_s(&process).unwrap_or_else(|| seconds(stat.utime + stat.stime)),
         user_s: seconds(stat.utime),
         system_s: seconds(stat.stime),
         descriptors: process.fd_count().unwrap_or(0) as f64,
     })
 }
+
+/// Ticks of 10 ms are coarse for a process that uses a thousandth of a core: the scheduler's count of each thread.
+fn cpu_s(process: &Process) -> Option<f64> {
+    let mut sum = 0;
+    for task in process.tasks().ok()? {
+        sum += task.ok()?.schedstat().ok()?.sum_exec_runtime;
+    }
+    Some(sum as f64 / 1e9)
+}
--- a/lab/tests/scale_figures.rs
+++ b/lab/tests/scale_figures.rs
@@ -2,8 +2,11 @@
 
 use sablerun_lab::scale::changes::Change;
 use sablerun_lab::scale::delays::{delays, of_real};
+use sablerun_lab::scale::figures::starts;
 use sablerun_lab::scale::fit::{by_point, line, series};
+use sablerun_lab::scale::joined::Joined;
 use sablerun_lab::scale::session::size;
+use sablerun_lab::scale::words::Request;
 use std::collections::BTreeMap;
 
 #[test]
@@ -70,3 +73,48 @@
         assert!(size(bad).is_err(), "{bad}");
     }
 }
+
+fn request(taken_us: u64, started_us: Option<u64>, answered_us: u64, answer: &str) -> Joined {
+    let request = Request {
+        id: "0000000000000000".to_owned(),
+        dispatcher: 0,
+        class: "urgent".to_owned(),
+        tenant: 0,
+        order: 0,
+        gang: 1,
+        taken_us,
+        answered_us,
+        answer: answer.to_owned(),
+    };
+    Joined { request, started_us, starts: started_us.map(|at| (at, 0)).into_iter().collect() }
+}
+
+#[test]
+fn a_start_that_is_waited_for_counts_with_its_wait() {
+    let mut requests = vec![
+        request(10, Some(1_010), 5_000_000, "served"),
+        request(20, Some(2_000_020), 5_000_000, "served"),
+        request(30, None, 9_000_030, "open"),
+        request(40, None, 50, "refused"),
+        // Outside the window.
+        request(2_000_000, Some(9_000_000), 9_500_000, "served"),
+    ];
+    let mut values = BTreeMap::new();
+    starts(&requests, (0, 1_000_000), &mut values);
+    let near = |figure: &str, value: f64| {
+        let told = values[figure];
+        assert!((told - value).abs() <= value * 0.002, "{figure}: {told} for {value}");
+    };
+    near("start.urgent_count", 3.0);
+    near("start.urgent_p50_ms", 2000.0);
+    near("start.urgent_p99_ms", 9000.0);
+    near("start.urgent_most_ms", 9000.0);
+    near("start.urgent_still_waiting", 1.0);
+    near("start.urgent_never", 1.0);
+    near("start.urgent_within_1300_ms_share", 1.0 / 3.0);
+    near("start.all_count", 3.0);
+    requests.clear();
+    let mut none = BTreeMap::new();
+    starts(&requests, (0, 1_000_000), &mut none);
+    assert!(!none.contains_key("start.all_p99_ms"));
+}
