Test of the stream's end: enough requests that it is red without the wait for the last

Cause: with twelve requests the test was green also without the wait that it is there for (tried). Change: 300 requests at 32 runners, each with one try. With 8 runners only 120 began: until an end has told of free slots a dispatcher believes in SLOTS_PRIOR at each runner.

--- a/lab/tests/hollow.rs
+++ b/lab/tests/hollow.rs
@@ -104,11 +104,18 @@
     acted: Acted,
 }
 
+/// A layout whose settings allow each request one try, however long its connection takes.
+fn one_try(name: &str, runners: usize, hollow: bool) -> Layout {
+    let mut layout = scene::layout(name, runners, DISPATCHERS, hollow);
+    let limits = &mut layout.settings["limits"];
+    limits["tryLimit"] = json!(1);
+    limits["parallelTries"] = json!(false);
+    limits["connectTimeout"] = json!(10_000_000_000u64);
+    layout
+}
+
 fn play(hollow: bool) -> Played {
-    let mut layout = scene::layout(&format!("hollow-{hollow}"), 4, DISPATCHERS, hollow);
-    layout.settings["limits"]["tryLimit"] = json!(1);
-    layout.settings["limits"]["parallelTries"] = json!(false);
-    layout.settings["limits"]["connectTimeout"] = json!(10_000_000_000u64);
+    let mut layout = one_try(&format!("hollow-{hollow}"), 4, hollow);
     layout.stream = Stream {
         fill: 40,
         fill_s: 0.5,
@@ -208,8 +215,9 @@
 #[test]
 fn what_is_out_at_the_end_is_open_and_given_up() {
     for hollow in [false, true] {
-        let mut layout = scene::layout(&format!("hollow-end-{hollow}"), 2, DISPATCHERS, hollow);
-        layout.stream = Stream { fill: 12, fill_s: 0.1, work_mean_s: 3600.0, ..layout.stream };
+        // Runners enough: until an end has told of free slots, a dispatcher believes in few at each.
+        let mut layout = one_try(&format!("hollow-end-{hollow}"), 32, hollow);
+        layout.stream = Stream { fill: 300, fill_s: 0.5, work_mean_s: 3600.0, ..layout.stream };
         let arrivals = |n| Arrivals::new(&layout.stream, layout.seed, n, layout.dispatchers[n].share).count();
         let due = (0..DISPATCHERS).map(arrivals).sum::<usize>() as f64;
         let mut stage = Stage::start(&layout);
