--- a/lab/src/scale/part_clients.rs
+++ b/lab/src/scale/part_clients.rs
@@ -14,6 +14,8 @@
 
 /// Threads that serve all clients.
 const WORKERS: usize = 2;
+/// Time between two looks whether all requests have ended.
+const LOOK: Duration = Duration::from_millis(5);
 
 /// Plays the part until standard input ends.
 ///
@@ -75,8 +77,9 @@
                 // With a stream its requests end too, and their connections with them: each as its task is
                 // next looked at.
                 self.streams.shutdown().await;
-                while self.open.load(Relaxed) > 0 {
-                    tokio::time::sleep(Duration::from_millis(1)).await;
+                // A row is written a moment after its connection has gone: the rows are waited for.
+                while self.answers.counts()["requests.out"] > 0.0 {
+                    tokio::time::sleep(LOOK).await;
                 }
                 for idle in self.idle.iter() {
                     held(idle).clear();
