--- a/node/src/net/discovery.rs
+++ b/node/src/net/discovery.rs
@@ -33,6 +33,8 @@
     watch: RefCell<Option<AbortHandle>>,
     /// A loss was reported, and nothing has shown since that the list is up to date.
     lost: Cell<bool>,
+    /// It has told a list since the start.
+    told: Cell<bool>,
     outage: RefCell<Outage>,
     /// Earlier watches that have not ended, until the new one tells something: what an old address still
     /// tells binds too, a silent watch may only be late, and nothing may fall between the two.
@@ -53,6 +55,7 @@
             number: Cell::new(0),
             watch: RefCell::default(),
             lost: Cell::default(),
+            told: Cell::default(),
             outage: RefCell::default(),
             before: RefCell::default(),
             this: this.clone(),
@@ -83,16 +86,7 @@
         let Some(runtime) = self.runtime.upgrade() else { return };
         let mut listed = Vec::with_capacity(hosts.hosts.len());
         for host in hosts.hosts {
-            let standing = match host.health.as_str() {
-                "active" => sr::Standing::Ready,
-                "leaving" => sr::Standing::Draining,
-                "left" => sr::Standing::Gone,
-                other => {
-                    // Whatever it means, it is not a call for work.
-                    log::warn!("discovery says {other:?} of runner {}: taken for draining", host.host);
-                    sr::Standing::Draining
-                }
-            };
+            let standing = host.standing();
             match host.dial.parse() {
                 Ok(at) => self.runners.address(&host.host, at),
                 Err(e) if standing == sr::Standing::Ready => {
@@ -115,6 +109,7 @@
         if let Some(observer) = runtime.observer() {
             observer.listed(hosts.seq);
         }
+        self.told.set(self.told.get() || kind != sr::ListKind::Saved);
         runtime.feed(Input::List(Source::Discovery, kind, listed));
     }
 
@@ -242,4 +237,8 @@
             }
         });
     }
+
+    fn told(&self) -> bool {
+        self.told.get()
+    }
 }
