--- a/node/src/core/digest.rs
+++ b/node/src/core/digest.rs
@@ -30,7 +30,7 @@
     /// How old a runner's report is at the most: told to the module when it changes, since its age is what a
     /// report is believed by.
     fn age_of_reports(&mut self, now: sr::Time) {
-        let age = self.digest.as_ref().filter(|digest| digest.fresh(now)).map(|digest| digest.every);
+        let age = self.digest.as_ref().filter(|digest| digest.fresh(now)).map(|digest| digest.every.secs());
         if self.settings.report_age != age {
             self.settings.report_age = age;
             self.events.push_back(sr::Event::Retuned(Box::new(self.settings.clone())));
--- a/src/balance/ledger.rs
+++ b/src/balance/ledger.rs
@@ -70,8 +70,8 @@
             (Some(_), Some(inflight)) => Some(inflight.max(room)),
             (_, inflight) => inflight,
         };
-        let aged = |age: Span| age.secs() / (age.secs() + self.mean_work[0]);
-        let tells = 1.0 - SIGHT.1 * self.settings.report_age.map_or(1.0, aged);
+        let tells =
+            1.0 - SIGHT.1 * self.settings.report_age.map_or(1.0, |age| age / (age + self.mean_work[0]));
         used.into_iter().for_each(|used| self.see_others(i, usual + tells * (used - running - usual)));
         // Errors a second, but for a single one, beside what is in hand: the whole fleet's losses, not own.
         if let (Some(errors), Some(inflight)) = (report.errors_per_s, report.inflight) {
