--- a/src/balance/ledger.rs
+++ b/src/balance/ledger.rs
@@ -70,8 +70,7 @@
             (Some(_), Some(inflight)) => Some(inflight.max(room)),
             (_, inflight) => inflight,
         };
-        let tells =
-            1.0 - SIGHT.1 * self.settings.report_age.map_or(1.0, |age| age / (age + self.mean_work[0]));
+        let tells = 1.0 - SIGHT.1 * self.settings.report_age.map_or(1.0, |a| a / (a + self.mean_work[0]));
         used.into_iter().for_each(|used| self.see_others(i, usual + tells * (used - running - usual)));
         // Errors a second, but for a single one, beside what is in hand: the whole fleet's losses, not own.
         if let (Some(errors), Some(inflight)) = (report.errors_per_s, report.inflight) {
@@ -88,9 +87,8 @@
     /// Whether a worker gets nothing for now by choice: it is suspect, or fails most of what it gets.
     pub fn avoids(&self, worker: WorkerId) -> bool {
         let i = worker.0 as usize;
-        self.workers
-            .get(i)
-            .is_some_and(|w| w.trial.is_some() || self.missed(i, 0) - self.erring >= MISS_LIMIT)
+        let known = self.workers.get(i);
+        known.is_some_and(|w| w.trial.is_some() || self.missed(i, 0) - self.erring >= MISS_LIMIT)
     }
 
     pub(super) fn start_seen(&mut self, i: usize, prompt: bool) {
--- a/src/balance/list.rs
+++ b/src/balance/list.rs
@@ -51,11 +51,11 @@
 
     /// Asks again while the list holds, then rarely; failures prolong that time by the simulator's rules alone.
     pub(super) fn lost(&mut self, event: &Event) {
-        let Settings { discovery: how, told_within, lost_within, failed_calls_renew: anew, .. } =
-            self.settings;
+        let Settings { discovery: how, told_within, lost_within, .. } = self.settings;
         let within = if *event == Event::ListSilent { told_within } else { lost_within };
         let (within, late) = if how == Discovery::Agent { (Span(0), 0.5) } else { (within, 2.0) };
-        let told = self.blind.filter(|at| !anew || *at <= self.now).unwrap_or(self.now + within);
+        let held = self.blind.filter(|told| !self.settings.failed_calls_renew || *told <= self.now);
+        let told = held.unwrap_or(self.now + within);
         self.blind = (how != Discovery::Pushed).then_some(told);
         if how != Discovery::Pushed && *event != Event::ListMoved && !self.subscribing {
             let (left, back) = ((told - self.now).secs(), self.list_backoff.max(0.2));
