--- /dev/null
+++ b/lab/tests/publisher.rs
@@ -0,0 +1,21 @@
+//! What a publisher's log says that it told, in a stretch of time.
+
+use sablerun_lab::scale::publisher::{Told, told};
+
+#[test]
+fn frames_and_wholes_within_a_stretch_are_added_up() {
+    let log = "\
+[2026-12-02T05:00:00.500Z DEBUG sablerun_node::publisher] frame of bytes=10 followers=2
+[2026-12-02T05:00:01.000Z DEBUG sablerun_node::publisher] frame of bytes=200 followers=2
+[2026-12-02T05:00:01.200Z DEBUG sablerun_node::publisher::serve] whole of bytes=3000
+[2026-12-02T05:00:02.000Z DEBUG sablerun_node::publisher] frame of bytes=40 followers=3
+[2026-12-02T05:00:02.100Z WARN  sablerun_node::publisher::loads] discovery: watch failed: silent
+half a line of bytes=
+[2026-12-02T05:00:03.000Z DEBUG sablerun_node::publisher] frame of bytes=5 followers=3
+";
+    let second = 1_000_000;
+    let start = "2026-12-02T05:00:00Z".parse::<jiff::Timestamp>().unwrap().as_microsecond() as u64;
+    let all = Told { frames: 240.0, count: 2.0, wholes: 3000.0 };
+    assert_eq!(told(log, start + second, start + 3 * second), all);
+    assert_eq!(told("", start, start + second), Told::default());
+}
