--- a/src/balance/list.rs
+++ b/src/balance/list.rs
@@ -49,7 +49,7 @@
         (self.list_backoff, self.blind) = (0.0, saved.map(|_| self.now + self.settings.saved_within));
     }
 
-    /// Asks again while the list holds, then rarely; failures prolong that time by the simulator's rules alone.
+    /// Asks again while the list holds, then rarely; no failure prolongs that but by the simulator's rule.
     pub(super) fn lost(&mut self, event: &Event) {
         let Settings { discovery: how, told_within, lost_within, .. } = self.settings;
         let within = if *event == Event::ListSilent { told_within } else { lost_within };
