Set TCP_NODELAY before connecting: its descriptor came with the register's upper half

Change: the option is set on a `TcpSocket` that `socket()` has just given, then it connects. The descriptor is a bare `int` there, extended to the whole register (both builds: `mov %eax,%edi`).

--- a/node/src/net/runners/pool.rs
+++ b/node/src/net/runners/pool.rs
@@ -4,7 +4,7 @@
 
 use crate::limits::Limits;
 use actix_codec::{AsyncRead, AsyncWrite, ReadBuf};
-use actix_rt::net::{ActixStream, Ready, TcpStream};
+use actix_rt::net::{ActixStream, Ready, TcpSocket, TcpStream};
 use actix_tls::connect::{ConnectError as TcpError, ConnectInfo, Connection};
 use awc::http::Uri;
 use awc::{Client, Connector};
@@ -214,9 +214,12 @@
             let at = info.addrs().next().ok_or(TcpError::Unresolved)?;
             pool.make_room().map_err(TcpError::Io)?;
             log::debug!("connection to {at}");
-            let stream = TcpStream::connect(at).await.map_err(TcpError::Io)?;
-            // The last of several small writes must not wait for the answer to the first.
-            stream.set_nodelay(true).map_err(TcpError::Io)?;
+            let socket = if at.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() };
+            let socket = socket.map_err(TcpError::Io)?;
+            // The last of several small writes must not wait for the answer to the first. Set on the bare
+            // descriptor, before anything stands beside it that the compiler could hand over with it.
+            socket.set_nodelay(true).map_err(TcpError::Io)?;
+            let stream = socket.connect(at).await.map_err(TcpError::Io)?;
             let uri = info.request().clone();
             Ok(Connection::new(uri, pool.adopt(stream, at)))
         })
