--- /dev/null
+++ b/node/benches/slopes/fit.rs
@@ -0,0 +1,31 @@
+//! A straight line through points by least squares. It owns that reckoning alone.
+
+/// `y = start + slope * x`, the share of the spread that it explains, and the largest distance of a point.
+#[derive(Clone, Copy, Debug)]
+pub struct Fit {
+    pub start: f64,
+    pub slope: f64,
+    pub r2: f64,
+    pub residual: f64,
+}
+
+impl Fit {
+    /// The line through points of two or more different `x`.
+    pub fn of(points: &[(f64, f64)]) -> Fit {
+        let n = points.len() as f64;
+        let (x, y) = points.iter().fold((0.0, 0.0), |(x, y), p| (x + p.0 / n, y + p.1 / n));
+        let spread = |a: fn(&(f64, f64)) -> f64, b: fn(&(f64, f64)) -> f64, (ma, mb): (f64, f64)| {
+            points.iter().map(|p| (a(p) - ma) * (b(p) - mb)).sum::<f64>()
+        };
+        let (xx, xy) = (spread(|p| p.0, |p| p.0, (x, x)), spread(|p| p.0, |p| p.1, (x, y)));
+        let yy = spread(|p| p.1, |p| p.1, (y, y));
+        let slope = xy / xx;
+        let start = y - slope * x;
+        let off = |p: &(f64, f64)| p.1 - start - slope * p.0;
+        let left: f64 = points.iter().map(|p| off(p).powi(2)).sum();
+        let residual = points.iter().map(|p| off(p).abs()).fold(0.0, f64::max);
+        // All alike: there is no spread to explain.
+        let r2 = if yy > 0.0 { 1.0 - left / yy } else { 1.0 };
+        Fit { start, slope, r2, residual }
+    }
+}
--- /dev/null
+++ b/node/benches/slopes/terms.rs
@@ -0,0 +1,102 @@
+//! The terms of a made-up world: its size, the settings, its runners. It owns those figures alone.
+
+use sablerun as sr;
+use sablerun_node::core::Listed;
+use sablerun_settings::{Names, Tables};
+
+/// Seconds that a request runs, in the mean.
+pub const WORK: f64 = 65.0;
+/// Slots of a runner that are taken, as long as this dispatcher has no more than that there: 13,000 on 680.
+pub const TAKEN: f64 = 19.0;
+const ZONES: usize = 5;
+/// Slots of each kind of runner.
+const SLOTS: [f64; 4] = [20.0, 22.0, 24.0, 20.0];
+
+/// How large a world is. `cold` runners, the first ones, have just started, and start anew before they are warm.
+#[derive(Clone, Copy)]
+pub struct Shape {
+    pub runners: usize,
+    pub out: usize,
+    pub tenants: usize,
+    pub dispatchers: usize,
+    pub cold: usize,
+}
+
+pub fn tables(shape: Shape) -> Tables {
+    let tenants: Vec<_> = (0..shape.tenants).map(|t| format!("team-{t}")).collect();
+    let zones: Vec<_> = (0..ZONES).map(|zone| format!("zone-{zone}")).collect();
+    Tables {
+        workers: Names::default(),
+        zones: Names::of(&zones),
+        kinds: Names::default(),
+        classes: Names::of([&"task".to_owned(), &"urgent".to_owned()]),
+        tenants: Names::of(&tenants),
+        fields: Vec::new(),
+    }
+}
+
+/// Settings as a platform of this size would give them, after the site that the benches play.
+pub fn settings(shape: Shape) -> sr::Settings {
+    let class = |objective, worth| sr::Class {
+        objective: sr::Span::from_secs(objective),
+        stretch: 2.0,
+        deadline: sr::Span::from_secs(300.0),
+        worth,
+        late_worth: 0.5,
+        effect: sr::Effect::Safe,
+        window: sr::Span(0),
+        kind: None,
+    };
+    let quota_per_s = 300.0 / shape.tenants as f64;
+    sr::Settings {
+        dispatchers: shape.dispatchers as u32,
+        zone: Some(sr::ZoneId(0)),
+        classes: vec![class(WORK, 1.0), class(1.3, 4.0)],
+        tenants: vec![sr::Tenant { quota_per_s }; shape.tenants],
+        over_share_worth: 0.05,
+        prices: sr::Prices { cross_zone: 0.03, handshake: 0.02, waste: 0.04, probe: 0.0018, late_fail: 0.07 },
+        discovery: sr::Discovery::Asked,
+        tick: sr::Span(4_000_000),
+        tells_start: true,
+        probing: true,
+        parallel: true,
+        max_attempts: 5,
+        max_hold_off: sr::Span::from_secs(2.0),
+        warm_after: sr::Span::from_secs(7.0),
+        cold_from: 0.4,
+        fall_multiple: 2.5,
+        worth_by_work: true,
+        marks_retries: true,
+        sized: true,
+        ..sr::Settings::default()
+    }
+}
+
+pub fn listed(runner: usize, up_since: Option<sr::Time>) -> Listed {
+    Listed {
+        name: name(runner),
+        zone: format!("zone-{}", runner % ZONES),
+        kind: format!("kind-{}", runner % 4),
+        cell: (runner / 8) as u32,
+        standing: sr::Standing::Ready,
+        size: SLOTS[runner % 4],
+        up_since,
+    }
+}
+
+/// What a runner reports that has so many of this dispatcher's requests, and of all as many as `taken`.
+pub fn report(runner: usize, own: f64, taken: f64) -> sr::Report {
+    let slots = SLOTS[runner % 4];
+    let inflight = own.max(taken).min(slots);
+    let latency = (inflight > 0.0).then(|| sr::Span::from_secs(WORK));
+    sr::Report {
+        inflight: Some(inflight),
+        free_slots: Some(slots - inflight),
+        latency,
+        ..sr::Report::default()
+    }
+}
+
+pub fn name(runner: usize) -> String {
+    format!("r-{runner}")
+}
