No failed call prolongs a lost list: the guess of an outage is gone

Cause: a refused connection, and any failure in the 8 s after the end of a watch, counted as discovery's outage and began the 5.8 s of a lost list anew. Neither shows one. A refusal at r proves that discovery can't be reached at r; what was made and to be had between the watch's end w and r counts as told at w + 6, but the list held to r + 5.8. A 503 comes from an overbooked discovery as well, and then a list held up to 13.8 s after the watch's end.

Change: Outage, Lost::Away, Input::ListAway, Event::ListAway and limits.outage are gone; a list holds 5.8 s from its loss (3.3 s from the word of silence) whatever fails, until news or a sign of life.

--- a/benchlink/src/host.rs
+++ b/benchlink/src/host.rs
@@ -18,6 +18,7 @@
         // The simulator's own clock: four times the time for asking, anew from each call that fails.
         settings.lost_within = sr::Span(settings.ask_within.0.saturating_mul(4));
         settings.saved_within = settings.lost_within;
+        settings.failed_calls_renew = true;
         let balancer = sr::Balancer::new(settings, seed, now).map_err(|e| format!("PROVISION.env: {e}"))?;
         Ok(Instance { balancer, tables })
     }
@@ -110,7 +111,7 @@
                 };
                 let instance = find(&mut self.instances, i, "TARGETS")?;
                 let event = match kind {
-                    None => sr::Event::ListAway,
+                    None => sr::Event::ListFailed,
                     Some(kind) => {
                         let number = page.ok_or("TARGETS.page is missing")?;
                         let page = self.pages.get(&number);
--- a/node/src/core.rs
+++ b/node/src/core.rs
@@ -211,7 +211,6 @@
             Input::List(source, kind, listed) => self.list(now, source, kind, listed),
             Input::ListFailed => self.tell(now, sr::Event::ListFailed),
             Input::ListSilent => self.tell(now, sr::Event::ListSilent),
-            Input::ListAway => self.tell(now, sr::Event::ListAway),
             Input::Retune(retune) => self.retune(now, *retune),
             Input::RosterAt(at) => {
                 // At once, and not when the module next asks: it waits for the old watch to fall silent.
--- a/node/src/core/input.rs
+++ b/node/src/core/input.rs
@@ -133,8 +133,6 @@
     ListFailed,
     /// Nothing comes over the watch any more, not even a sign of life.
     ListSilent,
-    /// A call for the list failed, by a refused connection or in an outage: discovery is not there.
-    ListAway,
     /// New settings hold from now on.
     Retune(Box<Retune>),
     /// The list is to be asked for at this address from now on.
@@ -166,7 +164,7 @@
             Input::Unusable(_) => "unusable",
             Input::Probed { .. } => "probed",
             Input::List(..) => "list",
-            Input::ListFailed | Input::ListSilent | Input::ListAway => "list_lost",
+            Input::ListFailed | Input::ListSilent => "list_lost",
             Input::Retune(_) => "retune",
             Input::RosterAt(_) => "roster_at",
             Input::StopAt(_) => "stop_at",
--- a/node/src/limits.rs
+++ b/node/src/limits.rs
@@ -63,8 +63,6 @@
     pub watch_silence: Duration,
     /// Time for which a watch that is late is read on, unless the next one tells something.
     pub watch_late: Duration,
-    /// Time after the end of a watch that stood for which failed calls count as discovery's outage.
-    pub outage: Duration,
     /// Time from the start for which clients are sent elsewhere while there is no list yet.
     pub admit: Duration,
     /// Longest line of a watch, in bytes.
@@ -145,7 +143,6 @@
             // An empty line comes every 2 s; what a silent watch misses counts as told 6 s after.
             watch_silence: Duration::from_millis(2500),
             watch_late: Duration::from_secs(10),
-            outage: Duration::from_secs(8),
             // Well within the 6 s in which nine in ten have to be ready.
             admit: Duration::from_secs(4),
             watch_line: 4 * 1024 * 1024,
--- a/node/src/net/discovery.rs
+++ b/node/src/net/discovery.rs
@@ -6,7 +6,7 @@
 
 use crate::core::{Input, Listed, Source};
 use crate::net::hosts::Hosts;
-use crate::net::loss::{Due, Loss, Lost, Outage};
+use crate::net::loss::{Due, Loss, Lost};
 use crate::net::objects::Objects;
 use crate::net::runners::{Pool, Runners};
 use crate::runtime::{Roster, Runtime};
@@ -18,7 +18,6 @@
 use std::net::SocketAddr;
 use std::rc::{Rc, Weak};
 use tokio::task::AbortHandle;
-use tokio::time::Instant;
 
 /// The way to discovery.
 pub struct Discovery {
@@ -35,7 +34,6 @@
     lost: Cell<bool>,
     /// It has told a list since the start.
     told: Cell<bool>,
-    outage: RefCell<Outage>,
     /// Earlier watches that have not ended, until the new one tells something: what an old address still
     /// tells binds too, a silent watch may only be late, and nothing may fall between the two.
     before: RefCell<Vec<AbortHandle>>,
@@ -56,7 +54,6 @@
             watch: RefCell::default(),
             lost: Cell::default(),
             told: Cell::default(),
-            outage: RefCell::default(),
             before: RefCell::default(),
             this: this.clone(),
         })
@@ -76,7 +73,6 @@
 
     /// The list was up to date just now.
     fn alive(&self) {
-        self.outage.borrow_mut().told();
         if let Some(runtime) = self.runtime.upgrade().filter(|_| self.lost.take()) {
             runtime.feed(Input::List(Source::Discovery, sr::ListKind::Delta, Vec::new()));
         }
@@ -192,12 +188,9 @@
         log::warn!("discovery: {what} failed: {}", loss.why);
         if let Some(runtime) = self.runtime.upgrade() {
             self.lost.set(true);
-            let (now, most) = (Instant::now(), runtime.limits.outage);
-            let lost = self.outage.borrow_mut().judge(loss.lost, now, most);
-            runtime.feed(match lost {
+            runtime.feed(match loss.lost {
                 Lost::Failed => Input::ListFailed,
                 Lost::Silent => Input::ListSilent,
-                Lost::Away => Input::ListAway,
             });
         }
     }
--- a/node/src/net/loss.rs
+++ b/node/src/net/loss.rs
@@ -1,8 +1,8 @@
-//! How a watch or a call for the list is lost: when it counts as late, and what its error says of discovery.
-//! It must never decide what follows from that.
+//! How a watch or a call for the list is lost, and when it counts as late. It must never decide what follows from
+//! that, nor guess from an error whether discovery could be reached: a refusal, a 503 or a reset shows that it could
+//! not just then, and nothing of the time before, in which there may have been something to tell.
 
-use awc::error::{ConnectError, SendRequestError};
-use std::io::ErrorKind;
+use awc::error::SendRequestError;
 use std::pin::pin;
 use std::time::Duration;
 use tokio::time::{Instant, timeout_at};
@@ -10,39 +10,10 @@
 /// What is known of discovery by a loss.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Lost {
-    /// Nothing.
+    /// Nothing, whatever the error.
     Failed,
     /// Its watch stands and brings nothing.
     Silent,
-    /// Nobody listens there: whatever there is to tell, it could not be had by now.
-    Away,
-}
-
-/// Whether calls fail because discovery is down: it ends its watches as it goes. What fails in the first while
-/// after the end of a watch that stood is its outage; later it may as well be its many callers. Guards
-/// against refusing work all through an outage, in which nothing can be told; could do harm where it is back
-/// early and then overbooked to the end of that while, and for as long as a list holds after it.
-#[derive(Debug, Default)]
-pub struct Outage {
-    stood: bool,
-    since: Option<Instant>,
-}
-
-impl Outage {
-    /// The watch has told something.
-    pub fn told(&mut self) {
-        *self = Outage { stood: true, since: None };
-    }
-
-    /// What a loss at `now` says, where failures count as an outage for so long.
-    pub fn judge(&mut self, lost: Lost, now: Instant, most: Duration) -> Lost {
-        if std::mem::take(&mut self.stood) {
-            self.since = (lost == Lost::Failed).then_some(now);
-            return lost;
-        }
-        let out = self.since.is_some_and(|since| now - since < most);
-        if out && lost == Lost::Failed { Lost::Away } else { lost }
-    }
 }
 
 /// Why a watch or a call brings nothing more.
@@ -65,13 +36,7 @@
 
 impl From<SendRequestError> for Loss {
     fn from(e: SendRequestError) -> Loss {
-        let lost = match &e {
-            SendRequestError::Connect(ConnectError::Io(io)) if io.kind() == ErrorKind::ConnectionRefused => {
-                Lost::Away
-            }
-            _ => Lost::Failed,
-        };
-        Loss { why: e.to_string(), lost }
+        e.to_string().into()
     }
 }
 
--- a/settings/src/settle.rs
+++ b/settings/src/settle.rs
@@ -17,7 +17,8 @@
         let kinds = Names::of(&env.kinds);
         let classes = env.services.iter().enumerate();
         let ask_within = env.rules.ask_within.map_or(sr::Settings::default().ask_within, sr::Span);
-        let sr::Settings { told_within, lost_within, saved_within, .. } = sr::Settings::default();
+        let sr::Settings { told_within, lost_within, saved_within, failed_calls_renew, .. } =
+            sr::Settings::default();
         let settings = sr::Settings {
             dispatchers: env.balancers,
             number: env.me,
@@ -75,6 +76,7 @@
             // Figures of the protocol, which no setting carries.
             told_within,
             saved_within,
+            failed_calls_renew,
             // Without a watch it may be less: the list holds for the time between two calls, less some room.
             lost_within: lost_within.min(sr::Span(ask_within.0.saturating_sub(200_000_000))),
             drain_binds_alone: env.rules.drain_binds_alone,
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -140,7 +140,7 @@
         let pumps = !matches!(event, Event::Noted(..) | Event::Timer(0..PUMP));
         match event {
             Event::List(kind, entries) => self.list(kind, entries),
-            Event::ListFailed | Event::ListSilent | Event::ListAway | Event::ListMoved => self.lost(&event),
+            Event::ListFailed | Event::ListSilent | Event::ListMoved => self.lost(&event),
             Event::Arrival(arrival) => self.arrive(arrival),
             Event::Closed(id) => self.close(id),
             Event::Extended(id, deadline) => self.watch_deadline(id, deadline),
--- a/src/balance/list.rs
+++ b/src/balance/list.rs
@@ -49,12 +49,12 @@
         (self.list_backoff, self.blind) = (0.0, saved.map(|_| self.now + self.settings.saved_within));
     }
 
-    /// Asks again while the list holds, then rarely; a refusal begins that time anew unless it has run out.
+    /// Asks again while the list holds, then rarely; no failure prolongs that but by the simulator's rule.
     pub(super) fn lost(&mut self, event: &Event) {
         let Settings { discovery: how, told_within, lost_within, .. } = self.settings;
         let within = if *event == Event::ListSilent { told_within } else { lost_within };
         let (within, late) = if how == Discovery::Agent { (Span(0), 0.5) } else { (within, 2.0) };
-        let held = self.blind.filter(|told| *event != Event::ListAway || *told <= self.now);
+        let held = self.blind.filter(|told| !self.settings.failed_calls_renew || *told <= self.now);
         let told = held.unwrap_or(self.now + within);
         self.blind = (how != Discovery::Pushed).then_some(told);
         if how != Discovery::Pushed && *event != Event::ListMoved && !self.subscribing {
--- a/src/interface/events.rs
+++ b/src/interface/events.rs
@@ -157,8 +157,6 @@
     ListFailed,
     /// The subscription has fallen silent: it stands, but news may be missed from its last sign of life on.
     ListSilent,
-    /// A call for the list failed, and there is no discovery to be had just now: the time counts anew.
-    ListAway,
     /// The list is asked for elsewhere from now on, and the call for it is made.
     ListMoved,
     /// A request has arrived.
--- a/src/interface/settings.rs
+++ b/src/interface/settings.rs
@@ -158,6 +158,9 @@
     /// How long from the start a saved list may be used where lists are asked for. The sockets' protocol does not
     /// tell how old it is, so that it may have missed any change: none there. The simulator's rules allow more.
     pub saved_within: Span,
+    /// Each failed call begins `lost_within` anew while the list still holds: the simulator's rule. On sockets a change
+    /// counts as told 6 s after it could be had, whatever has failed since: never there.
+    pub failed_calls_renew: bool,
     /// Only an entry that says draining binds; one that is gone or left out may still be sent to.
     pub drain_binds_alone: bool,
     /// A worker starts at this share of its capacity or above.
@@ -201,6 +204,7 @@
             told_within: Span::from_secs(3.3),
             lost_within: Span::from_secs(5.8),
             saved_within: Span(0),
+            failed_calls_renew: false,
             drain_binds_alone: false,
             cold_from: 0.1,
             warm_after: Span::from_secs(30.0),
--- a/tests/one_clock.rs
+++ b/tests/one_clock.rs
@@ -36,8 +36,8 @@
     let list = || Event::List(ListKind::Delta, Vec::new());
     let after = |span: Span, event| vec![(at + span, event, vouched)];
     match call {
-        Call::Refused => vec![(at + ms(1), Event::ListAway, at + ms(1))],
-        Call::Busy => after(ms(1), Event::ListFailed),
+        // That nobody listens just now does not say that nobody did before: no failure vouches.
+        Call::Refused | Call::Busy => after(ms(1), Event::ListFailed),
         Call::Reset => after(ms(50), Event::ListFailed),
         Call::GivenUp => after(GIVEN_UP, Event::ListFailed),
         Call::Slow => {
@@ -102,11 +102,8 @@
         made = calls(&world);
         news.sort_by_key(|(at, ..)| at.0);
         while news.first().is_some_and(|(at, ..)| at.0 <= world.now.0) {
-            let (at, event, until) = news.remove(0);
-            // A refusal shows that there was nothing to be had just now, not what there was before.
-            if event != Event::ListAway || at.0 <= vouched.0 + TOLD.0 {
-                vouched = vouched.max(until);
-            }
+            let (_, event, until) = news.remove(0);
+            vouched = vouched.max(until);
             world.event(event);
         }
     }
@@ -159,7 +156,7 @@
 #[test]
 fn a_list_from_before_the_start_sends_nothing() {
     for (fleet, seed) in [(1, 1), (300, 2)] {
-        for news in [None, Some(Event::ListFailed), Some(Event::ListAway)] {
+        for news in [None, Some(Event::ListFailed), Some(Event::ListSilent)] {
             let settings = Settings { discovery: Discovery::Asked, dispatchers: fleet, ..settings() };
             let mut world = World::new(settings, seed);
             world.list(ListKind::Saved, vec![worker(0)]);
--- a/tests/silence.rs
+++ b/tests/silence.rs
@@ -23,6 +23,36 @@
     assert_eq!(world.sends().len(), 1);
 }
 
+/// The simulator holds a dispatcher to its list for so long from the last call that failed, and so begins the time anew
+/// by each, unless it has run out; without that rule no failure prolongs it.
+#[test]
+fn failed_calls_prolong_a_lost_list_by_the_simulators_rule_alone() {
+    for (failed_calls_renew, seed) in [(true, 11), (false, 12)] {
+        let mut world =
+            World::new(Settings { discovery: Discovery::Asked, failed_calls_renew, ..settings() }, seed);
+        let holds = world.settings.lost_within;
+        world.list(ListKind::Full, vec![worker(0)]);
+        world.event(Event::ListFailed);
+        world.pass(Span(holds.0 / 2));
+        world.event(Event::ListFailed);
+        world.pass(ms(100));
+        world.pass(Span(holds.0 / 2));
+        world.arrive(0, 0);
+        assert_eq!(
+            world.sends().len(),
+            usize::from(failed_calls_renew),
+            "renewed by calls: {failed_calls_renew}"
+        );
+        // Both have run out by now, and stay so.
+        serve(&mut world, holds);
+        world.event(Event::ListFailed);
+        let sent = world.sends().len();
+        world.arrive(1, 0);
+        assert_eq!(world.sends().len(), sent, "renewed by calls: {failed_calls_renew}");
+        assert!(world.broken.is_empty(), "{:?}", world.broken);
+    }
+}
+
 /// A silent watch is begun anew before what it misses counts as told, in a fleet of any size; while it is not
 /// back by then, nobody is sent to, and once it is, all is as before.
 #[test]
