--- a/src/balance/ledger.rs
+++ b/src/balance/ledger.rs
@@ -8,7 +8,7 @@
 const PACE_HALF_LIFE: f64 = 6.0;
 /// Time in which peers without news are believed idle again, in seconds (8, 30 and 120 were tried).
 const FORGET: f64 = 30.0;
-/// Gain of one sight in what peers show of their queues; how little a report tells that is old beside the work.
+/// Gain of one sight in what peers show of their queues; how little a report tells that is old by the work.
 const SIGHT: (f64, f64) = (0.2, 0.5);
 
 impl Balancer {
