--- a/lab/src/scale/figures.rs
+++ b/lab/src/scale/figures.rs
@@ -82,7 +82,11 @@
         request.taken_us <= middle && (request.answered_us > middle || request.answer == "open")
     });
     let running = out.clone().filter(|joined| joined.started_us.is_some_and(|at| at <= middle)).count();
-    values.insert("window.out_at_once".to_owned(), out.count() as f64);
+    let out = out.count() as f64;
+    values.insert("window.out_at_once".to_owned(), out);
+    if played.numbers.running > 0 {
+        values.insert("window.out_share".to_owned(), out / played.numbers.running as f64);
+    }
     values.insert("window.running_at_once".to_owned(), running as f64);
 }
 
--- a/lab/src/scale/point.rs
+++ b/lab/src/scale/point.rs
@@ -81,7 +81,7 @@
     /// After how long what was taken away is back.
     #[serde(default)]
     pub back_s: f64,
-    /// How many runners, dispatchers or changes; 1 if not said. Scaled with the size for changes.
+    /// How many runners, dispatchers or changes; 1 if not said.
     #[serde(default = "one")]
     pub count: usize,
 }
