--- a/src/balance.rs
+++ b/src/balance.rs
@@ -140,7 +140,7 @@
         let pumps = !matches!(event, Event::Noted(..) | Event::Timer(0..PUMP));
         match event {
             Event::List(kind, entries) => self.list(kind, entries),
-            Event::ListFailed | Event::ListSilent | Event::ListAway | Event::ListMoved => self.lost(&event),
+            Event::ListFailed | Event::ListSilent | Event::ListMoved => self.lost(&event),
             Event::Arrival(arrival) => self.arrive(arrival),
             Event::Closed(id) => self.close(id),
             Event::Extended(id, deadline) => self.watch_deadline(id, deadline),
@@ -150,11 +150,10 @@
             }
             Event::Noted(id, attempt, note) => self.noted(id, attempt, note),
             Event::Ended { .. } => self.ended(event),
-            Event::Probed(worker, ok, report) => {
-                let i = worker.0 as usize;
-                if let Some(w) = self.workers.get_mut(i) {
+            Event::Probed(WorkerId(i), ok, report) => {
+                if let Some(w) = self.workers.get_mut(i as usize) {
                     w.trial = w.trial.map(|trial| if ok { trial.min(self.at) } else { trial });
-                    report.into_iter().for_each(|report| self.reported(i, report));
+                    report.into_iter().for_each(|report| self.reported(i as usize, report));
                 }
             }
             Event::Retuned(settings) => self.retune(*settings),
