--- a/lab/tests/scale_plan.rs
+++ b/lab/tests/scale_plan.rs
@@ -59,7 +59,7 @@
     let unknown = refused("at_s = 6\n", "at = 6\n");
     assert!(unknown.starts_with("point[5].fault[1]") && unknown.contains("`at`"), "{unknown}");
     let late = refused("at_s = 80", "at_s = 180");
-    assert_eq!(late, "point.faults.fault.half.at_s: 180 leaves no time to be back; at most 100");
+    assert_eq!(late, "point.faults.fault.half.at_s: 180 leaves no time to be back; at most 110");
 }
 
 #[test]
