Review case 3: a planned restart loses jobs that Faktory clients pushed

Cause: the shutdown drains and closes only the platform's HTTP front. The Faktory front goes on to take jobs and to send them to pick nodes until the process exits, which it does over the open jobs.

Change: review/3 holds the claim and its script; its play is in review/stand-ins/src/restart.rs.

--- /dev/null
+++ b/review/3/run.sh
@@ -0,0 +1,4 @@
+#!/usr/bin/env bash
+case_folder=$(cd "$(dirname "$0")" && pwd)
+case_name=restart
+. "$case_folder/../run-case.sh"
