--- a/review/stand-ins/src/kill.rs
+++ b/review/stand-ins/src/kill.rs
@@ -16,11 +16,11 @@
 /// The floors release a wave of so many jobs at the same time at each dispatcher, the first one so long after
 /// the start, and the last one before the end.
 const WAVE_JOBS: usize = 4;
-const FIRST_WAVE: Duration = Duration::from_millis(800);
+const FIRST_WAVE: Duration = Duration::from_millis(700);
 const WAVE_INTERVAL: Duration = Duration::from_millis(1_500);
 const END: Duration = Duration::from_secs(6);
 /// When one of the three dispatchers (the one started last) is killed, and for how long it is down.
-const KILL: Duration = Duration::from_millis(1_450);
+const KILL: Duration = Duration::from_millis(1_350);
 const DOWN: Duration = Duration::from_millis(1_500);
 /// The class's give-up time, over all tries of a client.
 const GIVE_UP: Duration = Duration::from_secs(6);
