--- a/review/stand-ins/src/discovery.rs
+++ b/review/stand-ins/src/discovery.rs
@@ -12,7 +12,8 @@
     pub name: String,
     pub dial: SocketAddr,
     pub hall: &'static str,
-    pub kind: &'static str,
+    /// The nodes of a hall are one cell.
+    pub cell: usize,
 }
 
 /// Serves this list and returns the address.
@@ -21,9 +22,9 @@
         .iter()
         .map(|host| {
             format!(
-                "{{\"host\":\"{}\",\"dial\":\"{}\",\"site\":\"{}\",\"class\":\"{}\",\"block\":0,\
+                "{{\"host\":\"{}\",\"dial\":\"{}\",\"site\":\"{}\",\"class\":\"k4-full\",\"block\":{},\
                  \"health\":\"active\",\"share\":1.0,\"born_ms\":0}}",
-                host.name, host.dial, host.hall, host.kind
+                host.name, host.dial, host.hall, host.cell
             )
         })
         .collect();
--- a/review/stand-ins/src/dispatcher.rs
+++ b/review/stand-ins/src/dispatcher.rs
@@ -21,6 +21,7 @@
     /// Where its files are: the configuration, the operator's file, its log and `$TMPDIR`.
     folder: PathBuf,
     child: Option<Child>,
+    starts: u64,
     record: Arc<Record>,
 }
 
@@ -38,7 +39,7 @@
 }
 
 impl Dispatcher {
-    /// Prepares a dispatcher with this operator's file.
+    /// Prepares a dispatcher with this operator's file, or none.
     pub fn new(
         folder: &Path,
         configuration: Configuration,
@@ -47,10 +48,11 @@
     ) -> io::Result<Dispatcher> {
         let folder = folder.join(&configuration.name);
         fs::create_dir_all(folder.join("tmp"))?;
-        fs::write(folder.join("operator.toml"), operator.replace("@FOLDER@", &folder.display().to_string()))?;
-        let dispatcher = Dispatcher { configuration, folder, child: None, record: record.clone() };
-        dispatcher.write_configuration()?;
-        Ok(dispatcher)
+        if !operator.is_empty() {
+            let operator = operator.replace("@FOLDER@", &folder.display().to_string());
+            fs::write(folder.join("operator.toml"), operator)?;
+        }
+        Ok(Dispatcher { configuration, folder, child: None, starts: 0, record: record.clone() })
     }
 
     /// Writes `$NODE_CONFIG` whole, by a rename.
@@ -62,10 +64,17 @@
 
     /// Starts the process with `run` of the deploy file, and waits until the front would admit it.
     pub fn start(&mut self) -> io::Result<()> {
+        self.starts += 1;
+        self.configuration.seed = seed() * 10_000 + self.configuration.number as u64 * 100 + self.starts;
+        self.write_configuration()?;
         let run = std::env::var("RUN").map_err(|_| io::Error::other("RUN is not set"))?;
         let Configuration { name, listen, discovery, .. } = self.configuration.clone();
         let log = File::options().create(true).append(true).open(self.folder.join("log"))?;
-        let command = format!("{run} run --config {}", self.folder.join("operator.toml").display());
+        let operator = self.folder.join("operator.toml");
+        let command = match operator.is_file() {
+            true => format!("{run} run --config {}", operator.display()),
+            false => run,
+        };
         let child = Command::new("/bin/sh")
             .args(["-c", &command])
             .env("NODE_NAME", &name)
@@ -114,6 +123,15 @@
         Ok(())
     }
 
+    /// Returns the memory that the process has in use, in kB.
+    pub fn resident_kb(&self) -> io::Result<u64> {
+        let Some(child) = &self.child else { return Ok(0) };
+        let status = fs::read_to_string(format!("/proc/{}/status", child.id()))?;
+        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+        let number = line.and_then(|line| line.split_whitespace().next()?.parse().ok());
+        number.ok_or_else(|| io::Error::other("the dispatcher's memory can't be read"))
+    }
+
     /// Returns the process's exit status, once it has ended by itself.
     pub fn ended(&mut self) -> io::Result<Option<ExitStatus>> {
         self.child.as_mut().map_or(Ok(None), Child::try_wait)
@@ -129,6 +147,11 @@
     }
 }
 
+/// Returns the seed of the run, from which the dispatchers' seeds are made.
+fn seed() -> u64 {
+    std::env::var("SEED").ok().and_then(|seed| seed.parse().ok()).unwrap_or(1)
+}
+
 /// Whether a dispatcher answers `GET /up` with 200.
 pub fn is_up(address: SocketAddr) -> bool {
     let ask = || -> io::Result<u16> {
--- a/review/stand-ins/src/installation.rs
+++ b/review/stand-ins/src/installation.rs
@@ -69,7 +69,8 @@
                 .iter()
                 .map(|node| {
                     let dial = node.serve(listen)?;
-                    Ok(Host { name: node.name.clone(), dial, hall: node.hall.name, kind: "k4-full" })
+                    let cell = 1 + HALLS.iter().position(|hall| *hall == node.hall.name).unwrap_or(0);
+                    Ok(Host { name: node.name.clone(), dial, hall: node.hall.name, cell })
                 })
                 .collect();
             let configuration = Configuration {
@@ -79,7 +80,8 @@
                 listen,
                 discovery: discovery::serve(&hosts?)?,
                 hall,
-                wave_objective_ms: 400,
+                wave_group: "zone",
+                seed: 0,
             };
             let mut dispatcher = Dispatcher::new(&setup.folder, configuration, &operator, &setup.record)?;
             dispatcher.start()?;
--- a/review/stand-ins/src/main.rs
+++ b/review/stand-ins/src/main.rs
@@ -9,7 +9,7 @@
 mod hall;
 mod http;
 mod installation;
-mod kill;
+mod memory;
 mod node;
 mod record;
 mod reload;
@@ -53,7 +53,7 @@
 /// Plays a case on a thread of its own, so that a run that hangs ends too.
 fn in_time(case: &str, setup: Setup) -> io::Result<bool> {
     let play = match case {
-        "kill" => kill::run,
+        "memory" => memory::run,
         "reload" => reload::run,
         "restart" => restart::run,
         _ => return Err(io::Error::other(format!("{case}: no such case"))),
--- a/review/stand-ins/src/reload.rs
+++ b/review/stand-ins/src/reload.rs
@@ -17,9 +17,10 @@
 const END: Duration = Duration::from_secs(7);
 /// How long after its first try a client sends its repeat.
 const REPEAT_AFTER: Duration = Duration::from_millis(450);
-/// When the new settings arrive, and the objective of `wave-release` in them.
+/// When the new settings arrive, and the stricter effect of `wave-release` in them. The nodes of a hall are one
+/// cell, so that nothing changes at the nodes.
 const RELOAD: Duration = Duration::from_secs(4);
-const NEW_OBJECTIVE_MS: u64 = 500;
+const STRICTER_GROUP: &str = "cell";
 /// The class's give-up time.
 const GIVE_UP: Duration = Duration::from_secs(6);
 
@@ -40,7 +41,7 @@
     thread::sleep(RELOAD.saturating_sub(began.elapsed()));
     if setup.trouble {
         for dispatcher in &mut installation.dispatchers {
-            dispatcher.configuration.wave_objective_ms = NEW_OBJECTIVE_MS;
+            dispatcher.configuration.wave_group = STRICTER_GROUP;
             dispatcher.write_configuration()?;
             dispatcher.signal("HUP")?;
         }
--- a/review/stand-ins/src/settings.rs
+++ b/review/stand-ins/src/settings.rs
@@ -6,6 +6,10 @@
 /// The halls of the deployment.
 pub const HALLS: [&str; 3] = ["hall-a", "hall-b", "hall-c"];
 
+/// The memory and the descriptors of a dispatcher: the most that the pages name.
+pub const MEMORY_MB: u64 = 192;
+pub const SOCKETS: u64 = 1024;
+
 /// What differs between the dispatchers and configurations of a run.
 #[derive(Clone)]
 pub struct Configuration {
@@ -15,15 +19,16 @@
     pub listen: SocketAddr,
     pub discovery: SocketAddr,
     pub hall: &'static str,
-    /// The objective of the class `wave-release`, in milliseconds.
-    pub wave_objective_ms: u64,
+    /// The group of runners that drop a repeat of a job of the class `wave-release`.
+    pub wave_group: &'static str,
+    /// The seed for random numbers, new with each start.
+    pub seed: u64,
 }
 
 impl Configuration {
     /// Returns the text of `$NODE_CONFIG`.
     pub fn text(&self) -> String {
-        let Configuration { name, number, dispatchers, listen, discovery, hall, wave_objective_ms } = self;
-        let seed = u64::from(std::process::id()) * 1_000 + *number as u64;
+        let Configuration { name, number, dispatchers, listen, discovery, hall, wave_group, seed } = self;
         let service = |name: &str, objective_ms: u64, deadline_s: u64, importance: u64, repeat: &str| {
             format!(
                 "{{\"name\":\"{name}\",\"objective\":{objective_ms}000000,\"deadline\":{deadline_s}000000000,\
@@ -47,10 +52,10 @@
             ),
             service(
                 "wave-release",
-                *wave_objective_ms,
+                400,
                 6,
                 10,
-                "\"repeat\":\"dedup\",\"group\":\"zone\",\"window\":10000000000",
+                &format!("\"repeat\":\"dedup\",\"group\":\"{wave_group}\",\"window\":10000000000"),
             ),
             service("short-pick", 150, 6, 3, "\"repeat\":\"dedup\",\"group\":\"all\",\"window\":10000000000"),
         ]
@@ -63,7 +68,7 @@
             .join(",");
         format!(
             "{{\"name\":\"{name}\",\"listen\":\"{listen}\",\"discovery\":\"{discovery}\",\"seed\":\"{seed:016x}\",\
-             \"limits\":{{\"cores\":1.0,\"memory_mb\":192,\"sockets\":1024}},\
+             \"limits\":{{\"cores\":1.0,\"memory_mb\":{MEMORY_MB},\"sockets\":{SOCKETS}}},\
              \"known\":{{\"seq\":0,\"whole\":true,\"hosts\":[]}},\
              \"settings\":{{\"balancers\":{dispatchers},\"me\":{number},\"clientHabits\":{{\"marksRetry\":true}},\
              \"extra\":{{\"classKind\":[-1,-1,-1,-1],\"classStretch\":[2.0,2.0,1.75,1.75],\"progress\":0,\
