--- a/review/stand-ins/src/installation.rs
+++ b/review/stand-ins/src/installation.rs
@@ -80,7 +80,6 @@
                 listen,
                 discovery: discovery::serve(&hosts?)?,
                 hall,
-                wave_group: "zone",
                 seed: 0,
             };
             let mut dispatcher = Dispatcher::new(&setup.folder, configuration, &operator, &setup.record)?;
--- a/review/stand-ins/src/main.rs
+++ b/review/stand-ins/src/main.rs
@@ -9,10 +9,10 @@
 mod hall;
 mod http;
 mod installation;
+mod kill;
 mod memory;
 mod node;
 mod record;
-mod reload;
 mod restart;
 mod settings;
 
@@ -54,7 +54,7 @@
 fn in_time(case: &str, setup: Setup) -> io::Result<bool> {
     let play = match case {
         "memory" => memory::run,
-        "reload" => reload::run,
+        "kill" => kill::run,
         "restart" => restart::run,
         _ => return Err(io::Error::other(format!("{case}: no such case"))),
     };
--- a/review/stand-ins/src/settings.rs
+++ b/review/stand-ins/src/settings.rs
@@ -19,8 +19,6 @@
     pub listen: SocketAddr,
     pub discovery: SocketAddr,
     pub hall: &'static str,
-    /// The group of runners that drop a repeat of a job of the class `wave-release`.
-    pub wave_group: &'static str,
     /// The seed for random numbers, new with each start.
     pub seed: u64,
 }
@@ -28,7 +26,7 @@
 impl Configuration {
     /// Returns the text of `$NODE_CONFIG`.
     pub fn text(&self) -> String {
-        let Configuration { name, number, dispatchers, listen, discovery, hall, wave_group, seed } = self;
+        let Configuration { name, number, dispatchers, listen, discovery, hall, seed } = self;
         let service = |name: &str, objective_ms: u64, deadline_s: u64, importance: u64, repeat: &str| {
             format!(
                 "{{\"name\":\"{name}\",\"objective\":{objective_ms}000000,\"deadline\":{deadline_s}000000000,\
@@ -55,7 +53,7 @@
                 400,
                 6,
                 10,
-                &format!("\"repeat\":\"dedup\",\"group\":\"{wave_group}\",\"window\":10000000000"),
+                "\"repeat\":\"dedup\",\"group\":\"zone\",\"window\":10000000000",
             ),
             service("short-pick", 150, 6, 3, "\"repeat\":\"dedup\",\"group\":\"all\",\"window\":10000000000"),
         ]
