--- a/review/run-case.sh
+++ b/review/run-case.sh
@@ -14,7 +14,10 @@
 finish() {
     # What the case did not end itself, by its process id.
     if [ -f "$folder/processes" ]; then
-        while read -r process; do kill -KILL "$process" 2>/dev/null; done <"$folder/processes"
+        while read -r process; do
+            # Only if the id still belongs to the dispatcher that was started under it.
+            if grep -qs sablerun "/proc/$process/cmdline"; then kill -KILL "$process"; fi
+        done <"$folder/processes"
     fi
     if [ -n "${LOGS:-}" ]; then for log in "$folder"/*/log; do mkdir -p "$LOGS" && cp "$log" "$LOGS/$(basename "$(dirname "$log")").log"; done; fi
     rm -rf "$folder"
