Faktory front: bound the memory of frames, of queues' names and of workers that left

What callers saw: the same crash over the Faktory front; 200 clients with an unfinished frame of 125 kB each took a dispatcher with 32 MB to 44,196 kB in the new test on the former build.

Cause: a frame's buffer was bounded for each connection alone and doubled, and an open job held the line, a copy of it and its arguments. Two things had no bound at all: the names of queues that a worker has ever fetched from, and the workers that had left and were kept until their heartbeats ran out. A worker that did not read its job held the session for ever.

Change: frames reserve from a budget of the front's own before they are allocated; a line is passed on without a copy and keeps its reservation while its job is open. A stalled frame is refused (`-ERR REFUSED no memory ...`) when others need its memory. Input behind a command that waits is dropped for want of memory; the command keeps its reply, after which the session ends, as on the platform's front. A worker may name 64 queues; of workers without a connection, the one silent for longest makes room. The frames' reader and writer now stand in a file of their own.

Test: `faktory_frames_do_not_exceed_the_memory_limit` failed before ("a frame": 44,196 kB of 32,768) and passes.

--- a/node/src/net/faktory.rs
+++ b/node/src/net/faktory.rs
@@ -4,27 +4,34 @@
 //! chooses a worker, repeats a job or hands one to a quiet worker. An ACK or FAIL of a finished job changes
 //! nothing. In the protocol a `wid` is the id of a worker process, and a `jid` that of a job.
 
+mod transport;
+
 use crate::core::{Answer, Arrival, AttemptEnd, AttemptId, Input, ListedRunner, Source};
-use crate::limits::Limits;
+use crate::memory::MemoryBudget;
 use crate::net::runners::result_bytes;
 use crate::net::spiffe::{self, Identities, SpiffeId};
 use crate::runtime::{ClientGuard, Job, Link, Runtime};
-use bytes::{Buf, Bytes, BytesMut};
+use bytes::Bytes;
 use sablerun as sr;
 use serde_json::{Value, json};
 use sha2::{Digest, Sha256};
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet, VecDeque};
-use std::io;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
-use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
+use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::TcpListener;
 use tokio::sync::{Notify, oneshot};
 use tokio_rustls::TlsAcceptor;
+use transport::{Disconnect, Transport};
+
+/// Most queues that a worker may name.
+const MAX_QUEUES: usize = 64;
+/// Longest name of a queue, in bytes.
+const MAX_QUEUE_NAME_BYTES: usize = 256;
 
 /// The `faktory` section of the operator's file.
 #[derive(Clone, Debug, serde::Deserialize)]
@@ -269,6 +276,8 @@
 /// The Faktory front, which is also the link to its workers.
 pub struct Faktory {
     runtime: Rc<Runtime>,
+    /// The memory for frames, also while their jobs are open.
+    memory: MemoryBudget,
     config: FaktoryConfig,
     password: Option<String>,
     identities: Option<Arc<Identities>>,
@@ -287,18 +296,6 @@
     format!("wid:{wid}")
 }
 
-/// Why a session ends: the connection is closed, with or without an error reply first.
-enum Disconnect {
-    Closed,
-    WithError(String),
-}
-
-impl From<io::Error> for Disconnect {
-    fn from(_: io::Error) -> Disconnect {
-        Disconnect::Closed
-    }
-}
-
 impl Faktory {
     /// Creates the front from its section of the operator's file, and reads the files named there.
     ///
@@ -314,6 +311,7 @@
         let identities = config.tls.clone().map(Identities::load).transpose()?;
         Ok(Rc::new(Faktory {
             runtime: runtime.clone(),
+            memory: MemoryBudget::new(runtime.limits.faktory_memory_bytes, runtime.limits.evict_silent_after),
             config,
             password: password.map(|text| text.trim().to_owned()),
             identities,
@@ -443,8 +441,7 @@
     pub async fn serve_connection<S: AsyncRead + AsyncWrite + Unpin>(self: Rc<Self>, stream: S, peer: Peer) {
         self.last_connection.set(self.last_connection.get() + 1);
         let number = self.last_connection.get();
-        let Limits { max_frame_bytes, body_timeout: frame_timeout, .. } = self.runtime.limits;
-        let mut transport = Transport { stream, buffer: BytesMut::new(), max_frame_bytes, frame_timeout };
+        let mut transport = Transport::new(stream, &self.runtime.limits, &self.memory);
         let mut session = Session { front: self.clone(), number, wid: None };
         let ended = self.handshake(&mut transport, &peer, &mut session).await;
         let ended = match ended {
@@ -477,6 +474,7 @@
         transport.send(&format!("+HI {greeting}\r\n")).await?;
         let line = tokio::time::timeout(self.runtime.limits.head_timeout, transport.read_line()).await;
         let line = line.map_err(|_| Disconnect::WithError("MALFORMED no HELLO in time".to_owned()))??;
+        let line = line_text(&line)?;
         let malformed = |what: &str| Disconnect::WithError(format!("MALFORMED HELLO: {what}"));
         let hello = line.strip_prefix("HELLO ").ok_or_else(|| malformed("it comes first"))?;
         let hello: Value = serde_json::from_str(hello).map_err(|_| malformed("no JSON object"))?;
@@ -513,6 +511,14 @@
             log::warn!("faktory: {} used wid {wid}, which belongs to another peer", peer.name);
             return Err(Disconnect::WithError("DENIED this wid is another's".to_owned()));
         }
+        if !workers.contains_key(wid) && workers.len() >= self.runtime.limits.max_faktory_connections {
+            // Each connection has one worker, so that there is one without a connection.
+            let absent = workers.iter().filter(|(_, worker)| worker.connections.is_empty());
+            let longest = absent.min_by_key(|(_, worker)| worker.last_beat).map(|(wid, _)| wid.clone());
+            if let Some(longest) = longest {
+                workers.remove(&longest);
+            }
+        }
         let or_default = |own: &Option<String>, default: &Option<String>| own.clone().or(default.clone());
         let worker = workers.entry(wid.to_owned()).or_insert_with(|| Worker {
             peer: peer.name.clone(),
@@ -572,10 +578,11 @@
         loop {
             let line = transport.read_line().await?;
             self.command_count.set(self.command_count.get() + 1);
-            let (verb, rest) = line.split_once(' ').unwrap_or((&line, ""));
+            let text = line_text(&line)?;
+            let (verb, rest) = text.split_once(' ').unwrap_or((text, ""));
             let reply = match (verb, &session.wid) {
                 ("PUSH", _) if !peer.is_client => Err("DENIED this identity is not a client's".to_owned()),
-                ("PUSH", _) => match self.parse_job(rest, peer) {
+                ("PUSH", _) => match self.parse_job(rest, line.slice_ref(rest.as_bytes()), peer) {
                     Ok(arrival) => self.handle_push(transport, arrival).await?,
                     Err(reason) => Err(format!("MALFORMED PUSH: {reason}")),
                 },
@@ -611,7 +618,7 @@
     // ---- clients ----
 
     /// Parses a pushed job into the core's request, without its ticket.
-    fn parse_job(&self, text: &str, peer: &Peer) -> Result<Arrival<Rc<Job>>, String> {
+    fn parse_job(&self, text: &str, original: Bytes, peer: &Peer) -> Result<Arrival<Rc<Job>>, String> {
         let job: Value = serde_json::from_str(text).map_err(|_| "no JSON".to_owned())?;
         let jid = job["jid"].as_str().ok_or("jid is missing")?;
         // The jid becomes part of a URL path when the job is cancelled at a runner of the platform.
@@ -671,13 +678,13 @@
         }
         let job = Job {
             target: route.map_or_else(default_target, |r| r.target.clone()),
-            body: Value::from(args.clone()).to_string().into(),
+            body: self.held_text(&Value::from(args.clone())).ok_or("no memory for the job")?,
             key: Some(key.unwrap_or(jid).to_owned()),
             content_type: Some("application/json".to_owned()),
             class: class_name.to_owned(),
             tenant: member.map(str::to_owned),
             queue: Some(queue.to_owned()),
-            original: Some(Bytes::copy_from_slice(text.as_bytes())),
+            original: Some(original),
         };
         Ok(Arrival {
             ticket: crate::core::Ticket(0),
@@ -708,7 +715,7 @@
             tokio::select! {
                 biased;
                 answer = &mut answer => break answer,
-                more = transport.fill() => more?,
+                more = transport.fill_behind_command() => more?,
             }
         };
         Ok(match answer {
@@ -730,10 +737,10 @@
         wid: &str,
         queues: &str,
     ) -> Result<(), Disconnect> {
-        let mut queues: Vec<String> = queues.split_whitespace().map(str::to_owned).collect();
-        if queues.is_empty() {
-            queues.push("default".to_owned());
-        }
+        let queues = match self.parse_queues(wid, queues) {
+            Ok(queues) => queues,
+            Err(error) => return Ok(transport.send(&format!("-ERR {error}\r\n")).await?),
+        };
         let (delivery, mut delivered) = oneshot::channel();
         self.park_fetch(wid, ParkedFetch { connection, queues, delivery });
         let deadline = tokio::time::Instant::now() + Duration::from_millis(self.config.fetch_wait_ms);
@@ -741,7 +748,7 @@
             tokio::select! {
                 biased;
                 job = &mut delivered => break job.ok(),
-                more = transport.fill() => more?,
+                more = transport.fill_behind_command() => more?,
                 () = tokio::time::sleep_until(deadline) => {
                     if let Some(worker) = self.workers.borrow_mut().get_mut(wid) {
                         worker.parked.retain(|parked| parked.connection != connection);
@@ -764,6 +771,26 @@
         Ok(())
     }
 
+    /// Parses the queues of a FETCH. All that a worker has named count against the limit.
+    fn parse_queues(&self, wid: &str, text: &str) -> Result<Vec<String>, String> {
+        let names = || text.split_whitespace();
+        if names().any(|name| name.len() > MAX_QUEUE_NAME_BYTES) {
+            return Err(format!(
+                "MALFORMED FETCH: a queue's name is longer than {MAX_QUEUE_NAME_BYTES} bytes"
+            ));
+        }
+        let workers = self.workers.borrow();
+        let known = workers.get(wid).map(|worker| &worker.queues);
+        let is_new = |name: &&str| known.is_none_or(|known| !known.contains(*name));
+        if names().count() > MAX_QUEUES
+            || known.map_or(0, HashSet::len) + names().filter(is_new).count() > MAX_QUEUES
+        {
+            return Err(format!("MALFORMED FETCH: a worker may name {MAX_QUEUES} queues"));
+        }
+        let queues: Vec<_> = names().map(str::to_owned).collect();
+        Ok(if queues.is_empty() { vec!["default".to_owned()] } else { queues })
+    }
+
     /// Whether the worker is registered with this connection.
     fn has_connection(&self, wid: &str, connection: u64) -> bool {
         self.workers.borrow().get(wid).is_some_and(|worker| worker.connections.contains(&connection))
@@ -936,10 +963,18 @@
         .to_string()
     }
 
-    /// Returns a job's queue and frame: the frame as its client pushed it, or one made from the job.
-    fn job_frame(&self, id: &str, job: &Job) -> (String, Bytes) {
+    /// Returns a value as text whose memory counts against the budget; `None` if there is no memory for it.
+    fn held_text(&self, value: &Value) -> Option<Bytes> {
+        let mut text = value.to_string().into_bytes();
+        text.shrink_to_fit();
+        self.memory.try_adopt(text).ok()
+    }
+
+    /// Returns a job's queue and frame: the frame as its client pushed it, or one made from the job, if there
+    /// is memory for it.
+    fn job_frame(&self, id: &str, job: &Job) -> (String, Option<Bytes>) {
         if let (Some(queue), Some(original)) = (&job.queue, &job.original) {
-            return (queue.clone(), original.clone());
+            return (queue.clone(), Some(original.clone()));
         }
         let route = self.config.route.iter().find(|route| route.class == job.class);
         let named = |name: Option<&String>| name.cloned().unwrap_or_else(|| job.class.clone());
@@ -957,7 +992,7 @@
             "args": [String::from_utf8_lossy(&job.body)],
             "custom": custom,
         });
-        (queue, frame.to_string().into())
+        (queue, self.held_text(&frame))
     }
 }
 
@@ -978,15 +1013,15 @@
                 let present = worker.running.contains_key(&id) || worker.queued.iter().any(|w| w.jid == id);
                 let parked = worker.parked.iter().any(|parked| parked.queues.contains(&queue));
                 let room = parked || worker.queued.len() < self.config.queue_per_worker;
-                if worker.quiet || present || !room || !worker.queues.contains(&queue) {
-                    sr::Outcome::Full
-                } else {
+                let accepts = !worker.quiet && room && worker.queues.contains(&queue);
+                if let Some(frame) = frame.filter(|_| accepts && !present) {
                     worker.queued.push_back(QueuedJob { attempt, jid: id.clone(), queue, frame });
                     drop(workers);
                     self.attempts.borrow_mut().insert(attempt, (wid.to_owned(), id));
                     self.serve_parked_fetches(wid);
                     return;
                 }
+                sr::Outcome::Full
             }
         };
         let report = workers.get(wid).map(Worker::report);
@@ -1047,87 +1082,6 @@
     }
 }
 
-/// Reads the lines and writes the replies of a connection.
-struct Transport<S> {
-    stream: S,
-    buffer: BytesMut,
-    max_frame_bytes: usize,
-    /// Time for a frame to arrive, from its first byte on.
-    frame_timeout: Duration,
-}
-
-impl<S: AsyncRead + AsyncWrite + Unpin> Transport<S> {
-    /// Reads more. The end of the stream, or more bytes than a frame may have, ends the session.
-    async fn fill(&mut self) -> Result<(), Disconnect> {
-        if self.buffer.len() > self.max_frame_bytes {
-            return Err(Disconnect::WithError(format!(
-                "MALFORMED a frame is longer than {} bytes",
-                self.max_frame_bytes
-            )));
-        }
-        match self.stream.read_buf(&mut self.buffer).await? {
-            0 => Err(Disconnect::Closed),
-            _ => Ok(()),
-        }
-    }
-
-    /// Returns the next frame. A peer may pause between two frames, but not within one.
-    async fn read_line(&mut self) -> Result<String, Disconnect> {
-        if self.buffer.is_empty() {
-            self.fill().await?;
-        }
-        let too_slow = Disconnect::WithError("MALFORMED a frame is too slow".to_owned());
-        tokio::time::timeout(self.frame_timeout, self.read_rest_of_line()).await.unwrap_or(Err(too_slow))
-    }
-
-    /// Shuts down the writing side and reads on until the peer closes.
-    async fn linger(&mut self) -> io::Result<()> {
-        self.stream.shutdown().await?;
-        loop {
-            self.buffer.clear();
-            if self.stream.read_buf(&mut self.buffer).await? == 0 {
-                return Ok(());
-            }
-        }
-    }
-
-    async fn read_rest_of_line(&mut self) -> Result<String, Disconnect> {
-        let mut searched = 0;
-        loop {
-            if let Some(newline) = self.buffer[searched..].iter().position(|&b| b == b'\n') {
-                if searched + newline > self.max_frame_bytes {
-                    return Err(Disconnect::WithError(format!(
-                        "MALFORMED a frame is longer than {} bytes",
-                        self.max_frame_bytes
-                    )));
-                }
-                let line = self.buffer.split_to(searched + newline);
-                self.buffer.advance(1);
-                let line = line.strip_suffix(b"\r").unwrap_or(&line);
-                let line = std::str::from_utf8(line)
-                    .map_err(|_| Disconnect::WithError("MALFORMED not UTF-8".to_owned()))?;
-                return Ok(line.trim_end().to_owned());
-            }
-            searched = self.buffer.len();
-            self.fill().await?;
-        }
-    }
-
-    async fn send(&mut self, text: &str) -> io::Result<()> {
-        self.stream.write_all(text.as_bytes()).await?;
-        self.stream.flush().await
-    }
-
-    async fn send_bulk(&mut self, bytes: &[u8]) -> io::Result<()> {
-        let mut frame = BytesMut::with_capacity(bytes.len() + 16);
-        frame.extend_from_slice(format!("${}\r\n", bytes.len()).as_bytes());
-        frame.extend_from_slice(bytes);
-        frame.extend_from_slice(b"\r\n");
-        self.stream.write_all(&frame).await?;
-        self.stream.flush().await
-    }
-}
-
 /// Rounds of the password hash.
 const PASSWORD_HASH_ROUNDS: u32 = 1735;
 
@@ -1151,6 +1105,12 @@
     RandomState::new().hash_one((connection, runtime.clock.now().0))
 }
 
+/// Returns the text of a line without its ending.
+fn line_text(line: &Bytes) -> Result<&str, Disconnect> {
+    let text = std::str::from_utf8(line);
+    text.map(str::trim_end).map_err(|_| Disconnect::WithError("MALFORMED not UTF-8".to_owned()))
+}
+
 fn worker_removed() -> String {
     "DENIED this worker was given up: say HELLO again".to_owned()
 }
--- a/node/tests/memory.rs
+++ b/node/tests/memory.rs
@@ -139,3 +139,24 @@
         assert_within_memory(program, what);
     }
 }
+
+/// Guards against the same crash by frames of Faktory peers, unfinished or behind a command.
+#[test]
+fn faktory_frames_do_not_exceed_the_memory_limit() {
+    const CLIENT: &str = r#"HELLO {"v":2}"#;
+    const WORKER: &str = r#"HELLO {"v":2,"wid":"w-1"}"#;
+    let frame = "x".repeat(125_000);
+    let push = job("picks", "ID-OF-JOB", "hang", json!({"timeout_ms": 1500}));
+    for (what, greeting, text, answer) in [
+        ("a frame", CLIENT, format!("PUSH {frame}"), "-ERR"),
+        ("behind a FETCH", WORKER, format!("FETCH waves\r\n{frame}"), "$-1"),
+        ("behind a PUSH", CLIENT, format!("PUSH {push}\r\n{frame}"), "-ERR"),
+        ("many queues", WORKER, format!("FETCH {}\r\n", "q ".repeat(60_000)), "-ERR MALFORM"),
+    ] {
+        let Installation { program, .. } = &start(Some(GATEWAY_CONFIG));
+        let answers = play(program, program.faktory_address.unwrap(), Some(greeting), text);
+        assert_within_memory(program, what);
+        let expected = |text: &&String| text.is_empty() || text.starts_with(answer);
+        assert_eq!(answers.iter().filter(expected).count(), BAD_CLIENTS, "{what}: {answers:?}");
+    }
+}
