Admin socket: reserve the memory of forwarded call-backs; keys' memory leaves the limits

32 callers may each send a forwarded call-back of up to 128 KiB, whose buffer doubled to 256 KiB: 8 MB that no limit knew of. The lines now reserve from the budget for messages, and a caller for whom there is no memory is answered `ERR busy`, which the other process of an upgrade answers by trying again. What the operator's file gives to the key store is taken off before the limits are computed from the memory, since nothing else may use it.

Test: `unfinished_calls_on_the_admin_socket_do_not_exceed_the_memory_limit`.

--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -83,7 +83,9 @@
     operator.check(&tables, machine.memory_mb).map_err(|e| format!("--config: {e}"))?;
     let Operator { faktory: faktory_config, keys: key_config, digest } = operator;
     let key_bounds = key_config.as_ref().map(|keys| keys.bounds(sr::Span::from_secs(0.25)));
-    let limits = Limits::new(machine.sockets, machine.memory_mb, &config.settings, faktory_config.is_some());
+    let key_memory_mb = key_config.as_ref().map_or(0, |keys| keys.memory_mb);
+    let memory_mb = machine.memory_mb.saturating_sub(key_memory_mb);
+    let limits = Limits::new(machine.sockets, memory_mb, &config.settings, faktory_config.is_some());
     let limits = limits.with_keys(key_bounds);
     let rules = key_config.as_ref().map(|keys| keys.rules(&settings.classes));
     let doubt_periods: Vec<_> =
@@ -143,7 +145,7 @@
         let address = listener.local_addr().map_err(|e| format!("admin_addr: {e}"))?;
         let (sender, requests) = tokio::sync::mpsc::unbounded_channel();
         let limits = net::admin::AdminLimits::default();
-        net::admin::start(listener, runtime.metrics.clone(), sender, limits)
+        net::admin::start(listener, runtime.metrics.clone(), sender, limits, runtime.memory.clone())
             .map_err(|e| format!("admin_addr: {e}"))?;
         let path = disabled_file::path();
         sync_disabled(&runtime, &path);
--- a/node/src/net/admin.rs
+++ b/node/src/net/admin.rs
@@ -4,6 +4,7 @@
 //! commands that change the dispatcher's state go to the serving thread. Decides nothing itself, and waits
 //! for no caller longer than [`AdminLimits`] allow.
 
+use crate::memory::{MemoryBudget, OutOfMemory, ReceiveBuffer};
 use crate::metrics::Metrics;
 use std::io;
 use std::net::SocketAddr;
@@ -14,6 +15,9 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Semaphore, mpsc, oneshot};
 
+/// How the line of a forwarded call-back begins.
+const CALL_BACK_PREFIX: &[u8] = b"TOLD ";
+
 /// A command on the admin socket.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Command {
@@ -119,6 +123,7 @@
     metrics: Arc<Metrics>,
     operations: mpsc::UnboundedSender<OperationRequest>,
     limits: AdminLimits,
+    memory: MemoryBudget,
 ) -> io::Result<()> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_io().enable_time().build()?;
     std::thread::Builder::new().name("door".to_owned()).spawn(move || {
@@ -132,12 +137,13 @@
                     continue;
                 };
                 let (metrics, operations, permits) = (metrics.clone(), operations.clone(), permits.clone());
+                let memory = memory.clone();
                 tokio::spawn(async move {
                     let Ok(_permit) = permits.try_acquire() else {
                         return answer(stream, "ERR busy: too many calls at once, call again\n", limits)
                             .await;
                     };
-                    let reply = match read_command(&stream, limits).await {
+                    let reply = match read_command(&stream, limits, &memory).await {
                         Ok(command) => execute(command, &metrics, &operations, limits).await,
                         Err(reason) => format!("ERR {reason}\n"),
                     };
@@ -150,13 +156,21 @@
 }
 
 /// Reads one command within its limits of size and time. A newline or the end of the stream ends the command.
-async fn read_command(stream: &TcpStream, limits: AdminLimits) -> Result<Command, String> {
-    let mut line = Vec::with_capacity(64);
+async fn read_command(
+    stream: &TcpStream,
+    limits: AdminLimits,
+    memory: &MemoryBudget,
+) -> Result<Command, String> {
+    let out_of_memory = || "busy: no memory for the call, call again".to_owned();
+    let mut line = ReceiveBuffer::new(memory);
     let deadline = tokio::time::Instant::now() + limits.read_timeout;
     loop {
         let mut chunk = [0u8; 4096];
         let read = tokio::time::timeout_at(deadline, async {
-            stream.readable().await?;
+            tokio::select! {
+                readable = stream.readable() => readable?,
+                () = line.eviction() => return Err(io::ErrorKind::OutOfMemory.into()),
+            }
             match stream.try_read(&mut chunk) {
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => Ok(None),
                 other => other.map(Some),
@@ -172,6 +186,7 @@
                     limits.read_timeout.as_millis()
                 ));
             }
+            Ok(Err(e)) if e.kind() == io::ErrorKind::OutOfMemory => return Err(out_of_memory()),
             Ok(Err(e)) => return Err(format!("the call could not be read: {e}")),
             Ok(Ok(None)) => continue,
             Ok(Ok(Some(got))) => got,
@@ -179,14 +194,16 @@
         let end_of_stream = got == 0;
         let chunk = &chunk[..got];
         let newline = chunk.iter().position(|b| *b == b'\n');
-        line.extend_from_slice(&chunk[..newline.map_or(chunk.len(), |index| index + 1)]);
-        let max_bytes =
-            if line.starts_with(b"TOLD ") { limits.max_call_back_bytes } else { limits.max_line_bytes };
-        if line.len() > max_bytes {
+        let chunk = &chunk[..newline.map_or(chunk.len(), |index| index + 1)];
+        let is_call_back =
+            line.as_slice().iter().chain(chunk).take(CALL_BACK_PREFIX.len()).eq(CALL_BACK_PREFIX);
+        let max_bytes = if is_call_back { limits.max_call_back_bytes } else { limits.max_line_bytes };
+        if line.len() + chunk.len() > max_bytes {
             return Err(format!("the call is longer than {max_bytes} bytes"));
         }
+        line.try_extend(chunk, max_bytes).map_err(|OutOfMemory| out_of_memory())?;
         if newline.is_some() || end_of_stream {
-            return parse(&line);
+            return parse(line.as_slice());
         }
     }
 }
--- a/node/tests/memory.rs
+++ b/node/tests/memory.rs
@@ -160,3 +160,12 @@
         assert_eq!(answers.iter().filter(expected).count(), BAD_CLIENTS, "{what}: {answers:?}");
     }
 }
+
+/// Guards against the same crash by forwarded call-backs on the admin socket.
+#[test]
+fn unfinished_calls_on_the_admin_socket_do_not_exceed_the_memory_limit() {
+    let Installation { program, .. } = &start(None);
+    let answers = play(program, program.admin_address(), None, format!("TOLD {}", "x".repeat(125_000)));
+    assert_within_memory(program, "admin socket");
+    assert!(answers.iter().all(|answer| answer.is_empty() || answer.starts_with("ERR")), "{answers:?}");
+}
