Discovery: bound the memory of all lists that are being read together

A watch that falls silent is read on for 10 s beside its successors, and each could hold 4 MiB of an unfinished list, with a buffer that doubles, whatever the memory: at 32 MB two of them are half of it. Lists now reserve from a budget of their own, an eighth of the memory, and one list takes a sixteenth at most (2 MiB at 32 MB, 4 MiB from 64 MB on; by calculation a list of 3,200 runners has 0.49 MB, its entries indented by four 0.65 MB). The unfinished list that has stalled for longest makes room for another. The buffer of a finished list is freed at once.

--- a/node/src/net/discovery.rs
+++ b/node/src/net/discovery.rs
@@ -5,9 +5,10 @@
 //! delivers something.
 
 use crate::core::{Input, ListedRunner, Source};
+use crate::memory::MemoryBudget;
 use crate::net::hosts::Hosts;
 use crate::net::json_stream::JsonStream;
-use crate::net::runners::{ConnectionPool, RunnerLink};
+use crate::net::runners::{ConnectionPool, RunnerLink, read_body};
 use crate::net::watch::{FailureKind, GraceTimeout, WatchError};
 use crate::runtime::{RunnerListSource, Runtime};
 use awc::Client;
@@ -24,6 +25,8 @@
     runtime: Weak<Runtime>,
     runners: Rc<RunnerLink>,
     client: Client,
+    /// The memory of lists that are being read.
+    memory: MemoryBudget,
     /// The version of the list held here.
     version: Cell<u64>,
     /// The address that counts these versions.
@@ -51,6 +54,7 @@
             runtime: Rc::downgrade(runtime),
             runners: runners.clone(),
             client: pool.client(&runtime.limits),
+            memory: MemoryBudget::new(runtime.limits.list_memory_bytes, runtime.limits.evict_silent_after),
             version: Cell::new(0),
             address: Cell::new(None),
             address_changes: Cell::new(0),
@@ -146,13 +150,20 @@
         if response.status() != StatusCode::OK {
             return Err(format!("answered {}", response.status()).into());
         }
-        let (mut stream, mut any_list) = (JsonStream::new(limits.max_watch_line_bytes), false);
+        let stream = JsonStream::new(limits.max_watch_line_bytes);
+        let (mut stream, mut any_list) = (stream.with_memory(&self.memory), false);
         loop {
-            let next = timeout.wait(response.next(), || match any_list {
+            let next_chunk = async {
+                tokio::select! {
+                    chunk = response.next() => Ok(chunk),
+                    () = stream.evicted() => Err("an unfinished list makes room for another"),
+                }
+            };
+            let next = timeout.wait(next_chunk, || match any_list {
                 true => report_late("silent", FailureKind::Silent),
                 false => report_late("no list", FailureKind::Failed),
             });
-            let Some(chunk) = next.await? else { return Err("ended".to_owned().into()) };
+            let Some(chunk) = next.await?? else { return Err("ended".to_owned().into()) };
             stream.extend(&chunk.map_err(|e| e.to_string())?);
             let mut list = false;
             while let Some(hosts) = stream.next()? {
@@ -185,8 +196,8 @@
             if response.status() != StatusCode::OK {
                 return Err(format!("answered {}", response.status()).into());
             }
-            let body = response.body().limit(runtime.limits.max_watch_line_bytes).await;
-            body.map_err(|e| WatchError::from(e.to_string()))
+            let body = read_body(&mut response, runtime.limits.max_watch_line_bytes, &self.memory).await;
+            body.ok_or_else(|| WatchError::from("the list is too long, or can't be read"))
         };
         let body =
             tokio::time::timeout(runtime.limits.list_timeout, call).await.map_err(|_| "no answer")??;
