--- a/node/src/net/platform/requests.rs
+++ b/node/src/net/platform/requests.rs
@@ -67,14 +67,16 @@
             Ok(head) => head,
             Err(reason) => {
                 log::debug!("a request is rejected: {reason}");
-                self.count_rejected(request);
+                self.count_rejected(request, AnswerKind::Errored);
                 return Reply::bad_request(reason);
             }
         };
         let body = match self.read_body(request, connection).await {
             Ok(body) => body,
             Err(reply) => {
-                self.count_rejected(request);
+                let refused = reply.status == StatusCode::SERVICE_UNAVAILABLE;
+                let kind = if refused { AnswerKind::Deferred } else { AnswerKind::Errored };
+                self.count_rejected(request, kind);
                 return reply;
             }
         };
@@ -124,14 +126,14 @@
         }
     }
 
-    /// Counts a job rejected before it reached the core as errored for the class it names, even if the class
-    /// is unknown: operators count a class that clients send before this process knows it. Jobs that reach
-    /// the core are counted by the runtime.
-    fn count_rejected(&self, request: &Request) {
+    /// Counts a job rejected before it reached the core for the class it names, even if the class is unknown:
+    /// operators count a class that clients send before this process knows it. Jobs that reach the core are
+    /// counted by the runtime.
+    fn count_rejected(&self, request: &Request, kind: AnswerKind) {
         let class_name =
             header_text(request.headers(), &HeaderName::from_static("x-priority-class")).ok().flatten();
         if let Some(class) = class_name.and_then(|name| self.runtime.metrics.class_if_room(name)) {
-            class.count(AnswerKind::Errored);
+            class.count(kind);
         }
     }
 
