A new Faktory worker takes the place of a removed one among the runners

Cause: a runner's name was numbered for good.

Change: when a worker has been removed (it missed its heartbeats, or made room), its place becomes vacant, and the next worker that is listed for the first time takes it: `Input::RunnerReplaced` renames the number, unless the old runner is still listed, disabled by an operator or has a live attempt. The new entry's later start makes the balancer begin anew for that number, as for a restarted process. Runners of discovery keep their numbers as before.

--- a/node/src/core.rs
+++ b/node/src/core.rs
@@ -226,14 +226,8 @@
             Input::ListFailed => self.notify(now, sr::Event::ListFailed),
             Input::ListSilent => self.notify(now, sr::Event::ListSilent),
             Input::Reconfigure(reconfiguration) => self.reconfigure(now, *reconfiguration),
-            Input::DiscoveryMoved(address) => {
-                // Subscribes at once: the balancer would only ask again after the old watch has gone silent.
-                if self.discovery != address {
-                    self.discovery = address;
-                    self.effects.push(Effect::Subscribe(address));
-                    self.notify(now, sr::Event::DiscoveryMoved);
-                }
-            }
+            Input::DiscoveryMoved(address) => self.handle_discovery_moved(now, address),
+            Input::RunnerReplaced { runner, successor } => self.handle_runner_replaced(&runner, &successor),
             Input::StopAt(at) => {
                 self.stop_at = Some(at);
                 self.set_timer(at, Timer::Stop);
--- a/node/src/core/input.rs
+++ b/node/src/core/input.rs
@@ -141,6 +141,11 @@
     DiscoveryMoved(SocketAddr),
     /// The program ends at this time: requests unanswered by then are answered.
     StopAt(sr::Time),
+    /// A runner that registered itself has been removed; its successor, which was never listed, takes its place.
+    RunnerReplaced {
+        runner: String,
+        successor: String,
+    },
     /// An operator disables or enables a runner; the result is returned under the number `call`. A call
     /// that the other process of an upgrade accepted (`from_peer`) may name a runner not listed here yet.
     SetDisabled {
@@ -166,7 +171,7 @@
             Input::RequestRejected(_) => "unusable",
             Input::Probed { .. } => "probed",
             Input::Digest(_) => "digest",
-            Input::List(..) => "list",
+            Input::List(..) | Input::RunnerReplaced { .. } => "list",
             Input::ListFailed | Input::ListSilent => "list_lost",
             Input::Reconfigure(_) => "retune",
             Input::DiscoveryMoved(_) => "roster_at",
--- a/node/src/core/lists.rs
+++ b/node/src/core/lists.rs
@@ -1,9 +1,10 @@
 //! Runner lists. Keeps the last entries of each source, maps names to the balancer's numbers, and merges
 //! full lists so that one source's list never removes another source's runners.
 
-use super::{Core, ListedRunner, Source};
+use super::{Core, Effect, ListedRunner, Source};
 use sablerun as sr;
 use sablerun_keys as keys;
+use std::net::SocketAddr;
 
 impl<J: Clone> Core<J> {
     /// Applies a list or a change of one, and passes the merged result to the balancer.
@@ -49,4 +50,27 @@
         let changed = self.with_disabled_as_draining(changed);
         self.notify(now, sr::Event::List(kind, changed));
     }
+
+    /// Subscribes to discovery at its new address at once: the balancer would only ask again after the old watch
+    /// has gone silent.
+    pub(super) fn handle_discovery_moved(&mut self, now: sr::Time, address: SocketAddr) {
+        if self.discovery != address {
+            self.discovery = address;
+            self.effects.push(Effect::Subscribe(address));
+            self.notify(now, sr::Event::DiscoveryMoved);
+        }
+    }
+
+    /// Passes the number of a runner that will not come back on to its successor, so that what is kept for each
+    /// number does not grow with every runner that ever came. The successor's first list entry makes the balancer
+    /// begin anew. A runner that is listed, disabled, or has live attempts keeps its number.
+    pub(super) fn handle_runner_replaced(&mut self, runner: &str, successor: &str) {
+        let Some(number) = self.tables.workers.get(runner) else { return };
+        let listed = self.list_entries.keys().any(|(_, worker)| *worker == number);
+        let mut attempts = self.requests.values().flat_map(|request| &request.attempts);
+        let in_use = attempts.any(|attempt| attempt.live && attempt.runner == number);
+        if !listed && !in_use && !self.disabled.contains(&number) {
+            self.tables.workers.rename(runner, successor);
+        }
+    }
 }
--- a/node/src/net/faktory.rs
+++ b/node/src/net/faktory.rs
@@ -16,7 +16,7 @@
 use serde_json::{Value, json};
 use sha2::{Digest, Sha256};
 use std::cell::{Cell, RefCell};
-use std::collections::{HashMap, HashSet, VecDeque};
+use std::collections::{BTreeSet, HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::rc::Rc;
@@ -282,6 +282,8 @@
     password: Option<String>,
     identities: Option<Arc<Identities>>,
     workers: RefCell<HashMap<String, Worker>>,
+    /// The wids of removed workers whose places among the runners other workers may take.
+    vacant: RefCell<BTreeSet<String>>,
     /// The wid and the jid of each attempt.
     attempts: RefCell<HashMap<AttemptId, (String, Rc<str>)>>,
     connections: Cell<usize>,
@@ -316,6 +318,7 @@
             password: password.map(|text| text.trim().to_owned()),
             identities,
             workers: RefCell::default(),
+            vacant: RefCell::default(),
             attempts: RefCell::default(),
             connections: Cell::new(0),
             connection_closed: Notify::new(),
@@ -390,7 +393,7 @@
             for wid in silent_wids {
                 log::warn!("faktory: worker {wid} missed its heartbeats: removed");
                 self.disconnect(&wid, None);
-                self.workers.borrow_mut().remove(&wid);
+                self.remove_worker(&mut self.workers.borrow_mut(), &wid);
             }
             if last_reload.elapsed().as_secs_f64() >= reload_interval {
                 last_reload = Instant::now();
@@ -516,7 +519,7 @@
             let absent = workers.iter().filter(|(_, worker)| worker.connections.is_empty());
             let longest = absent.min_by_key(|(_, worker)| worker.last_beat).map(|(wid, _)| wid.clone());
             if let Some(longest) = longest {
-                workers.remove(&longest);
+                self.remove_worker(&mut workers, &longest);
             }
         }
         let or_default = |own: &Option<String>, default: &Option<String>| own.clone().or(default.clone());
@@ -546,6 +549,26 @@
         Ok(())
     }
 
+    /// Removes a worker without connections. Its place among the runners becomes vacant if it was ever listed.
+    fn remove_worker(&self, workers: &mut HashMap<String, Worker>, wid: &str) {
+        if workers.remove(wid).is_some_and(|worker| !worker.queues.is_empty()) {
+            self.vacant.borrow_mut().insert(wid.to_owned());
+        }
+    }
+
+    /// Gives a worker that is listed for the first time its own former place among the runners, or a vacant one.
+    fn take_vacant_place(&self, wid: &str) {
+        let mut vacant = self.vacant.borrow_mut();
+        if vacant.remove(wid) {
+            return;
+        }
+        if let Some(removed) = vacant.pop_first() {
+            drop(vacant);
+            let (runner, successor) = (runner_name(&removed), runner_name(wid));
+            self.runtime.feed(Input::RunnerReplaced { runner, successor });
+        }
+    }
+
     /// Reports a worker's state to the core.
     fn report_worker(&self, wid: &str) {
         let workers = self.workers.borrow();
@@ -810,6 +833,7 @@
         }
         drop(workers);
         if first {
+            self.take_vacant_place(wid);
             self.report_worker(wid);
         }
         self.serve_parked_fetches(wid);
--- a/node/tests/gateway.rs
+++ b/node/tests/gateway.rs
@@ -123,6 +123,29 @@
     }
 }
 
+/// A worker that was removed leaves its place among the runners to the next one, which gets jobs under its own id;
+/// if the first one returns, it is served as well.
+#[test]
+fn a_new_worker_takes_the_place_of_a_removed_one() {
+    let gateway = format!("beat_limit_s = 0.2\n{GATEWAY_CONFIG}");
+    let (_discovery, program, address) = start(&gateway, settings());
+    let mut first = FaktoryConnection::connect(address, Some("w-1"));
+    assert_eq!(first.command("FETCH waves"), "$-1");
+    drop(first);
+    program.log.wait("worker w-1 missed its heartbeats", 1);
+    for (number, wid) in ["w-2", "w-1"].into_iter().enumerate() {
+        let events = Events::default();
+        worker(address, wid, 1, &events);
+        program.log.wait(&format!("worker {wid} of"), if wid == "w-1" { 2 } else { 1 });
+        let replies: Vec<_> =
+            (0..4).map(|_| push(address, job("waves", &new_id(), "serve", json!({})))).collect();
+        replies.into_iter().for_each(|reply| assert_eq!(reply.join().unwrap(), "+OK"));
+        if number == 0 {
+            events.wait("w-2 told serve", 4);
+        }
+    }
+}
+
 /// A worker that goes quiet drains: jobs that waited for it go elsewhere at once, and it finishes those that
 /// it runs.
 #[test]
--- a/node/tests/memory.rs
+++ b/node/tests/memory.rs
@@ -169,3 +169,22 @@
     assert_within_memory(program, "admin socket");
     assert!(answers.iter().all(|answer| answer.is_empty() || answer.starts_with("ERR")), "{answers:?}");
 }
+
+/// Guards against growth with every Faktory worker that ever came: each new id used to get a number, a name and the
+/// balancer's records for good.
+#[test]
+fn faktory_workers_that_come_and_go_do_not_exceed_the_memory_limit() {
+    const VISITORS: usize = 8;
+    const VISITS: usize = 3_500;
+    let Installation { program, .. } = &start(Some(GATEWAY_CONFIG));
+    let address = program.faktory_address.unwrap();
+    let visit = move || {
+        for _ in 0..VISITS {
+            let mut connection = FaktoryConnection::connect(address, Some(&new_id()));
+            connection.send("FETCH waves");
+        }
+    };
+    let visitors: Vec<_> = (0..VISITORS).map(|_| thread::spawn(visit)).collect();
+    visitors.into_iter().for_each(|visitor| visitor.join().unwrap());
+    assert_within_memory(program, "workers");
+}
--- a/settings/src/tables.rs
+++ b/settings/src/tables.rs
@@ -1,5 +1,5 @@
 //! Tables that map names to numbers and back, and the meaning of a load report's fields. A number, once
-//! assigned, never changes and never refers to another name.
+//! assigned, never changes; it refers to another name only after [`NameTable::rename`].
 
 use sablerun as sr;
 use std::collections::HashMap;
@@ -34,6 +34,18 @@
         number
     }
 
+    /// Passes the number of a name on to a new name; returns whether it did. The old name has no number then.
+    pub fn rename(&mut self, old: &str, new: &str) -> bool {
+        if self.numbers.contains_key(new) {
+            return false;
+        }
+        let Some(number) = self.numbers.remove(old) else { return false };
+        self.numbers.insert(new.to_owned(), number);
+        self.names[number as usize] = new.to_owned();
+        self.quoted[number as usize] = serde_json::Value::from(new).to_string();
+        true
+    }
+
     /// The number of a known name.
     pub fn get(&self, name: &str) -> Option<u32> {
         self.numbers.get(name).copied()
--- a/settings/tests/reconcile.rs
+++ b/settings/tests/reconcile.rs
@@ -2,7 +2,7 @@
 //! tenant, for as long as the program runs.
 
 use sablerun as sr;
-use sablerun_settings::{Env, reconcile};
+use sablerun_settings::{Env, NameTable, reconcile};
 
 fn env(services: &str, projects: &str) -> Env {
     let text = format!(
@@ -45,3 +45,17 @@
     assert_eq!((reconciled.classes, reconciled.settings.classes.len()), (vec![0, 1], 4));
     assert_eq!((tables.classes.get("bin"), tables.classes.all().len()), (Some(1), 4));
 }
+
+/// A number that is passed on keeps its place; no name ever stands for two numbers.
+#[test]
+fn a_number_passes_to_a_new_name_only() {
+    let mut table = NameTable::of(&["a".to_owned(), "b".to_owned()]);
+    assert!(!table.rename("a", "b"));
+    assert!(!table.rename("nobody", "c"));
+    assert!(table.rename("a", "c"));
+    assert_eq!(
+        (table.get("a"), table.get("c"), table.name(0), table.quoted(0)),
+        (None, Some(0), "c", "\"c\"")
+    );
+    assert_eq!((table.intern("a"), table.all().len()), (2, 3));
+}
