--- /dev/null
+++ b/node/benches/memory/main.rs
@@ -0,0 +1,147 @@
+//! Measures the memory that bad clients can make the program hold: for each form of unfinished or unread
+//! input, hundreds of clients send it at full speed and stay, and come again when they are turned away, while a
+//! usual client hands in jobs. Prints the peak of the resident memory as a ratio to the configured limit, how
+//! the bad requests ended and how the usual jobs did; exits with 1 if a peak is above its limit.
+//!
+//! Arguments: words that the names of the forms to play must contain; all forms without any.
+
+mod forms;
+mod identities;
+mod peers;
+
+use forms::{Form, Target};
+use sablerun_stand_ins::scripted::{Discovery, GATEWAY_CONFIG, Program, host, settings};
+use serde_json::json;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering::Relaxed};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// The memory limits played, in MB: the smallest and the largest one of the platform.
+const MEMORY_MB: [u64; 2] = [32, 192];
+const DESCRIPTORS: u64 = 1024;
+/// A third of the descriptors.
+const BAD_CLIENTS: usize = 341;
+const DURATION: Duration = Duration::from_secs(3);
+const SAMPLE_INTERVAL: Duration = Duration::from_millis(5);
+
+/// How requests ended.
+#[derive(Default)]
+pub(crate) struct Ends {
+    pub(crate) answered: AtomicU64,
+    pub(crate) closed: AtomicU64,
+    /// Neither within the time that bad clients are owed.
+    pub(crate) neither: AtomicU64,
+    pub(crate) served: AtomicU64,
+    pub(crate) not_served: AtomicU64,
+    /// The slowest served job, in milliseconds.
+    pub(crate) slowest_ms: AtomicU64,
+}
+
+/// What the threads of one play share.
+pub(crate) struct Play {
+    pub(crate) stop: AtomicBool,
+    pub(crate) ends: Ends,
+}
+
+/// Returns a figure of the process's memory in kB.
+fn memory_kb(process: u32, name: &str) -> u64 {
+    let status = std::fs::read_to_string(format!("/proc/{process}/status")).unwrap_or_default();
+    let line = status.lines().find_map(|line| line.strip_prefix(name)?.strip_prefix(':'));
+    line.and_then(|line| line.trim().trim_end_matches(" kB").parse().ok()).unwrap_or(0)
+}
+
+fn target_address(program: &Program, target: Target) -> SocketAddr {
+    match target {
+        Target::Platform | Target::Result => program.address,
+        Target::Faktory | Target::Tls | Target::PassingWorkers => {
+            program.faktory_address.expect("the front is on")
+        }
+        Target::Admin => program.admin_address(),
+        Target::Runner | Target::Discovery => program.address,
+    }
+}
+
+/// Plays one form under one memory limit; returns whether the peak was within the limit.
+fn play(form: &Form, memory_mb: u64) -> bool {
+    let play = Arc::new(Play { stop: AtomicBool::new(false), ends: Ends::default() });
+    let runner = peers::Runner::start(form);
+    let hosts = vec![host("s-0", runner.address, "hall-a", "active")];
+    let discovery = Discovery::start(hosts);
+    let discovery_address = match form.target {
+        Target::Discovery => peers::start_discovery(form, runner.address),
+        _ => discovery.address,
+    };
+    let mut config = Program::config(discovery_address, settings());
+    config["limits"] = json!({"cores": 1.0, "memory_mb": memory_mb, "sockets": DESCRIPTORS});
+    let gateway = match form.target {
+        Target::Faktory | Target::PassingWorkers => Some(GATEWAY_CONFIG.to_owned()),
+        Target::Tls => Some(identities::gateway_config()),
+        _ => None,
+    };
+    if form.target == Target::Admin {
+        config["admin_addr"] = json!("127.0.0.1:0");
+    }
+    let mut command = Program::command(&config, gateway.as_deref());
+    command.env("RUST_LOG", "error,sablerun=info,sablerun_node::net::discovery=debug");
+    let program = Program::spawn_until(command, gateway.is_some(), "list ");
+    runner.serve(&program);
+    thread::sleep(Duration::from_millis(300));
+    let process = program.child.id();
+    let before_kb = memory_kb(process, "VmRSS");
+    let mut threads = Vec::new();
+    {
+        let (play, address) = (play.clone(), program.address);
+        threads.push(thread::spawn(move || peers::usual_client(&play, address)));
+    }
+    let address = target_address(&program, form.target);
+    let text = Arc::new(form.text.clone());
+    for _ in 0..form.clients {
+        let (play, text, form) = (play.clone(), text.clone(), form.clone());
+        let client = move || peers::bad_client(&play, &form, address, &text);
+        threads.push(thread::Builder::new().stack_size(128 * 1024).spawn(client).expect("a thread"));
+    }
+    let (began, mut peak_kb) = (Instant::now(), 0);
+    while began.elapsed() < DURATION {
+        peak_kb = memory_kb(process, "VmRSS").max(peak_kb);
+        thread::sleep(SAMPLE_INTERVAL);
+    }
+    peak_kb = memory_kb(process, "VmHWM").max(peak_kb);
+    play.stop.store(true, Relaxed);
+    threads.into_iter().for_each(|thread| thread.join().expect("no thread panics"));
+    let count = |counter: &AtomicU64| counter.load(Relaxed);
+    let (ends, ratio) = (&play.ends, peak_kb as f64 / 1024.0 / memory_mb as f64);
+    println!(
+        "{:<34} {memory_mb:>3} MB  from {:>5.1}  peak {:>6.1} MB  ratio {ratio:>5.2}{}  bad: error {:>5} closed {:>5} \
+         neither {:>4}  usual: served {:>3} not {:>3} slowest {:>4} ms",
+        form.name,
+        before_kb as f64 / 1024.0,
+        peak_kb as f64 / 1024.0,
+        if ratio > 1.0 { " OVER" } else { "     " },
+        count(&ends.answered),
+        count(&ends.closed),
+        count(&ends.neither),
+        count(&ends.served),
+        count(&ends.not_served),
+        count(&ends.slowest_ms),
+    );
+    ratio <= 1.0
+}
+
+fn main() {
+    let words: Vec<_> = std::env::args().skip(1).filter(|word| !word.starts_with("--")).collect();
+    let mut within = true;
+    for form in forms::all(BAD_CLIENTS) {
+        if !words.iter().all(|word| form.name.contains(word.as_str())) {
+            continue;
+        }
+        for memory_mb in MEMORY_MB {
+            within &= play(&form, memory_mb);
+        }
+    }
+    if !within {
+        println!("OVER: a peak is above its limit");
+        std::process::exit(1);
+    }
+}
