Name refusals rightly, reserve for bodies until close, and don't wait for input behind a command

Found by reading the change again: - A PUSH for whose job there was no memory was answered MALFORMED; it is `-ERR REFUSED retry_after=...` now. - A body that an `Upgrade` header leaves open until the close was read without reserving the parser's share. - A message that was complete before it could be given up stayed marked as evicted, so that a later long head on the same connection was refused.

--- a/node/src/memory/buffer.rs
+++ b/node/src/memory/buffer.rs
@@ -42,10 +42,12 @@
         &self.bytes
     }
 
+    /// Returns the number of bytes received.
     pub fn len(&self) -> usize {
         self.bytes.len()
     }
 
+    /// Whether nothing has been received.
     pub fn is_empty(&self) -> bool {
         self.bytes.is_empty()
     }
--- a/node/src/memory/reservation.rs
+++ b/node/src/memory/reservation.rs
@@ -146,9 +146,10 @@
         self.update_progress(Some(Instant::now()));
     }
 
-    /// Protects the reservation from eviction: the message is complete.
+    /// Protects the reservation from eviction: the message is complete. A request to give it up is dropped.
     pub fn protect(&self) {
         self.update_progress(None);
+        self.eviction.requested.store(false, Ordering::Release);
     }
 
     /// Whether it is to be given up.
--- a/node/src/net/faktory.rs
+++ b/node/src/net/faktory.rs
@@ -298,6 +298,36 @@
     format!("wid:{wid}")
 }
 
+/// Why a pushed job is not taken.
+enum PushError {
+    /// What is wrong with it.
+    Malformed(String),
+    /// There is no memory for it.
+    OutOfMemory,
+}
+
+impl From<String> for PushError {
+    fn from(reason: String) -> PushError {
+        PushError::Malformed(reason)
+    }
+}
+
+impl From<&str> for PushError {
+    fn from(reason: &str) -> PushError {
+        PushError::Malformed(reason.to_owned())
+    }
+}
+
+impl PushError {
+    /// Returns the error reply; a job for which there is no memory may be pushed again after `retry_after`.
+    fn reply(&self, retry_after: Duration) -> String {
+        match self {
+            PushError::Malformed(reason) => format!("MALFORMED PUSH: {reason}"),
+            PushError::OutOfMemory => format!("REFUSED retry_after={:.3}", retry_after.as_secs_f64()),
+        }
+    }
+}
+
 impl Faktory {
     /// Creates the front from its section of the operator's file, and reads the files named there.
     ///
@@ -607,7 +637,7 @@
                 ("PUSH", _) if !peer.is_client => Err("DENIED this identity is not a client's".to_owned()),
                 ("PUSH", _) => match self.parse_job(rest, line.slice_ref(rest.as_bytes()), peer) {
                     Ok(arrival) => self.handle_push(transport, arrival).await?,
-                    Err(reason) => Err(format!("MALFORMED PUSH: {reason}")),
+                    Err(error) => Err(error.reply(self.runtime.limits.memory_timeout)),
                 },
                 ("FETCH", Some(wid)) if !self.has_connection(wid, session.number) => Err(worker_removed()),
                 ("FETCH", Some(wid)) => {
@@ -641,13 +671,13 @@
     // ---- clients ----
 
     /// Parses a pushed job into the core's request, without its ticket.
-    fn parse_job(&self, text: &str, original: Bytes, peer: &Peer) -> Result<Arrival<Rc<Job>>, String> {
+    fn parse_job(&self, text: &str, original: Bytes, peer: &Peer) -> Result<Arrival<Rc<Job>>, PushError> {
         let job: Value = serde_json::from_str(text).map_err(|_| "no JSON".to_owned())?;
         let jid = job["jid"].as_str().ok_or("jid is missing")?;
         // The jid becomes part of a URL path when the job is cancelled at a runner of the platform.
         let unreserved = |b: u8| b.is_ascii_alphanumeric() || b"-._~".contains(&b);
         if jid.len() < 8 || jid.len() > 128 || !jid.bytes().all(unreserved) {
-            return Err("jid is malformed".to_owned());
+            return Err("jid is malformed".into());
         }
         let jobtype = job["jobtype"].as_str().filter(|t| !t.is_empty()).ok_or("jobtype is missing")?;
         let args = job["args"].as_array().ok_or("args is no array")?;
@@ -656,7 +686,7 @@
             queue => queue.as_str().ok_or("queue is malformed")?,
         };
         if !matches!(&job["at"], Value::Null) {
-            return Err("at: jobs for later are not taken".to_owned());
+            return Err("at: jobs for later are not taken".into());
         }
         let (names, custom) = (&self.config.custom, &job["custom"]);
         let string = |key: &str| match &custom[key] {
@@ -677,7 +707,7 @@
         let class_name = match (string(&names.class)?, route) {
             (Some(class), _) => class,
             (None, Some(route)) => &route.class,
-            (None, None) => return Err("queue and jobtype match no route".to_owned()),
+            (None, None) => return Err("queue and jobtype match no route".into()),
         };
         let class = self.runtime.with_class(class_name, |number, class| (number, class.deadline));
         let (class, deadline) = class.ok_or("custom names no known class")?;
@@ -697,11 +727,11 @@
         // The key becomes a header when the job goes to a runner of the platform.
         let visible = |key: &&str| !key.is_empty() && key.bytes().all(|b| (0x20..0x7f).contains(&b));
         if key.is_some_and(|key| !visible(&key)) {
-            return Err(format!("custom.{} must be visible ASCII, and not empty", names.key));
+            return Err(format!("custom.{} must be visible ASCII, and not empty", names.key).into());
         }
         let job = Job {
             target: route.map_or_else(default_target, |r| r.target.clone()),
-            body: self.held_text(&Value::from(args.clone())).ok_or("no memory for the job")?,
+            body: self.held_text(&Value::from(args.clone())).ok_or(PushError::OutOfMemory)?,
             key: Some(key.unwrap_or(jid).to_owned()),
             content_type: Some("application/json".to_owned()),
             class: class_name.to_owned(),
--- a/node/src/net/faktory/transport.rs
+++ b/node/src/net/faktory/transport.rs
@@ -52,6 +52,7 @@
 }
 
 impl<S: AsyncRead + AsyncWrite + Unpin> Transport<S> {
+    /// Creates the transport of an accepted connection.
     pub fn new(stream: S, limits: &Limits, memory: &MemoryBudget) -> Transport<S> {
         Transport {
             stream,
@@ -73,24 +74,29 @@
         self.max_frame_bytes + 2
     }
 
-    /// Reads more of a frame. The end of the stream, more bytes than a frame may have, or a lack of memory ends
-    /// the session.
-    async fn fill(&mut self) -> Result<(), Disconnect> {
-        if self.input.len() > self.max_frame_bytes {
-            return Err(self.too_long());
-        }
-        let out_of_memory = Disconnect::out_of_memory(self.memory_timeout);
-        if self.input.make_room(self.max_input_bytes(), self.memory_timeout).await.is_err() {
-            return Err(out_of_memory);
-        }
+    /// Reads once into the room that has been made. Returns false if the input is to be given up.
+    async fn read_input(&mut self) -> Result<bool, Disconnect> {
         let evicted = self.input.eviction();
         tokio::select! {
             biased;
             read = self.input.read_from(&mut self.stream) => match read? {
                 0 => Err(Disconnect::Closed),
-                _ => Ok(()),
+                _ => Ok(true),
             },
-            () = evicted => Err(out_of_memory),
+            () = evicted => Ok(false),
+        }
+    }
+
+    /// Reads more of a frame, for which memory is waited for up to `memory_timeout`. The end of the stream, more
+    /// bytes than a frame may have, or a lack of memory ends the session.
+    async fn fill(&mut self, memory_timeout: Duration) -> Result<(), Disconnect> {
+        if self.input.len() > self.max_frame_bytes {
+            return Err(self.too_long());
+        }
+        let has_room = self.input.make_room(self.max_input_bytes(), memory_timeout).await.is_ok();
+        match has_room && self.read_input().await? {
+            true => Ok(()),
+            false => Err(Disconnect::out_of_memory(self.memory_timeout)),
         }
     }
 
@@ -109,18 +115,8 @@
                 _ => Ok(()),
             };
         }
-        let evicted = self.input.eviction();
-        tokio::select! {
-            biased;
-            read = self.input.read_from(&mut self.stream) => match read? {
-                0 => Err(Disconnect::Closed),
-                _ => Ok(()),
-            },
-            () = evicted => {
-                self.input_lost = true;
-                Ok(())
-            }
-        }
+        self.input_lost = !self.read_input().await?;
+        Ok(())
     }
 
     /// Returns the next frame. A peer may pause between two frames, but not within one.
@@ -128,14 +124,19 @@
         if self.input_lost {
             return Err(Disconnect::with_error("REFUSED no memory for the input behind the last command"));
         }
+        // While memory is waited for, the peer's close is not noticed. A peer that did not wait for its last reply
+        // gets none by waiting: it may have left, and a worker that has left must not count as present.
+        let memory_timeout = if self.input.is_empty() { self.memory_timeout } else { Duration::ZERO };
         if self.input.is_empty() {
-            self.fill().await?;
+            self.fill(memory_timeout).await?;
         }
         let too_slow = Disconnect::with_error("MALFORMED a frame is too slow");
-        tokio::time::timeout(self.frame_timeout, self.read_rest_of_line()).await.unwrap_or(Err(too_slow))
+        let frame_timeout = self.frame_timeout;
+        let reading = self.read_rest_of_line(memory_timeout);
+        tokio::time::timeout(frame_timeout, reading).await.unwrap_or(Err(too_slow))
     }
 
-    async fn read_rest_of_line(&mut self) -> Result<Bytes, Disconnect> {
+    async fn read_rest_of_line(&mut self, memory_timeout: Duration) -> Result<Bytes, Disconnect> {
         let mut searched = 0;
         loop {
             if let Some(newline) = self.input.as_slice()[searched..].iter().position(|&b| b == b'\n') {
@@ -145,7 +146,7 @@
                 return Ok(self.input.split_to(searched + newline + 1));
             }
             searched = self.input.len();
-            self.fill().await?;
+            self.fill(memory_timeout).await?;
         }
     }
 
@@ -170,6 +171,7 @@
         tokio::time::timeout(self.write_timeout, writing).await.unwrap_or(too_slow)
     }
 
+    /// Writes a text, for example a reply with its line ending.
     pub async fn send(&mut self, text: &str) -> io::Result<()> {
         self.write_all(&[text.as_bytes()]).await
     }
--- a/node/src/net/platform/body.rs
+++ b/node/src/net/platform/body.rs
@@ -5,6 +5,7 @@
 use crate::net::platform::Front;
 use crate::net::platform::connection::Connection;
 use crate::net::platform::head::header_text;
+use crate::net::platform::lifecycle::{BodyRest, Stage};
 use crate::net::platform::reply::Reply;
 use actix_http::{HttpMessage, Payload, Request, header};
 use bytes::Bytes;
@@ -16,13 +17,13 @@
 /// Most bytes of a chunked body that the parser gets at a time: it keeps a record for each chunk, which takes
 /// several times as much as the shortest chunk.
 const CHUNKED_PIECE_BYTES: usize = 1024;
-/// Most bytes of a body with a stated length that the parser gets at a time.
+/// Most bytes of any other body that the parser gets at a time.
 const SIZED_PIECE_BYTES: usize = 4 * 1024;
 
 /// Memory that the parser takes for a chunked body besides its bytes: the records of its chunks, and a buffer
 /// beside the one that the head occupies.
 const CHUNKED_OVERHEAD_BYTES: usize = 28 * 1024;
-/// The same for a body with a stated length that is not read along with its head.
+/// The same for any other body that is not read along with its head.
 const SIZED_OVERHEAD_BYTES: usize = 20 * 1024;
 
 /// How a body is passed to the parser.
@@ -34,13 +35,16 @@
 }
 
 impl Passing {
-    fn of(chunked: bool, length: usize) -> Passing {
-        if chunked {
-            return Passing { piece_bytes: CHUNKED_PIECE_BYTES, overhead_bytes: CHUNKED_OVERHEAD_BYTES };
-        }
-        let short = length <= ReceiveBuffer::PREPAID_BYTES;
-        let overhead_bytes = if short { 0 } else { SIZED_OVERHEAD_BYTES };
-        Passing { piece_bytes: SIZED_PIECE_BYTES, overhead_bytes }
+    fn of(stage: Stage) -> Passing {
+        let (piece_bytes, overhead_bytes) = match stage {
+            Stage::ReadingBody(BodyRest::Chunked(_)) => (CHUNKED_PIECE_BYTES, CHUNKED_OVERHEAD_BYTES),
+            Stage::ReadingBody(BodyRest::Sized(length)) if length > ReceiveBuffer::PREPAID_BYTES => {
+                (SIZED_PIECE_BYTES, SIZED_OVERHEAD_BYTES)
+            }
+            Stage::ReadingBody(BodyRest::UntilClose) => (SIZED_PIECE_BYTES, SIZED_OVERHEAD_BYTES),
+            _ => (SIZED_PIECE_BYTES, 0),
+        };
+        Passing { piece_bytes, overhead_bytes }
     }
 }
 
@@ -65,8 +69,7 @@
         if length > limits.max_body_bytes {
             return Err(Reply::too_large());
         }
-        let chunked = request.headers().contains_key(header::TRANSFER_ENCODING);
-        let passing = Passing::of(chunked, length);
+        let passing = Passing::of(connection.lifecycle.get().stage());
         let reading = self.read_payload(request.take_payload(), passing, connection);
         tokio::time::timeout(limits.body_timeout, reading).await.unwrap_or(Err(Reply::too_slow()))
     }
--- a/node/src/net/platform/input.rs
+++ b/node/src/net/platform/input.rs
@@ -27,10 +27,12 @@
 }
 
 impl InputBuffer {
+    /// Creates an empty buffer.
     pub fn new(memory: &MemoryBudget) -> InputBuffer {
         InputBuffer { bytes: BytesMut::new(), reservation: memory.reservation() }
     }
 
+    /// Returns the number of bytes buffered.
     pub fn len(&self) -> usize {
         self.bytes.len()
     }
--- a/node/src/net/platform/timer.rs
+++ b/node/src/net/platform/timer.rs
@@ -27,11 +27,13 @@
 }
 
 impl StreamTimer {
+    /// Creates a timer with no timeout running.
     pub fn new(limits: &Limits) -> StreamTimer {
         let Limits { head_timeout, keep_alive, write_timeout, .. } = *limits;
         StreamTimer { head_timeout, keep_alive, write_timeout, running: None }
     }
 
+    /// Stops the running timeout.
     pub fn stop(&mut self) {
         self.running = None;
     }
--- a/node/src/net/sliced_body.rs
+++ b/node/src/net/sliced_body.rs
@@ -18,6 +18,7 @@
 }
 
 impl SlicedBody {
+    /// Creates a body from its bytes.
     pub fn new(body: Bytes) -> SlicedBody {
         SlicedBody { length: body.len() as u64, rest: body, on_end: None }
     }
--- a/node/tests/memory_budget.rs
+++ b/node/tests/memory_budget.rs
@@ -73,6 +73,12 @@
     );
     drop(stalled);
     late.try_resize(1_000).unwrap();
+    // A message that is complete before it could be given up stays.
+    std::thread::sleep(Duration::from_millis(30));
+    assert_eq!(budget.reservation().try_resize(1_000), Err(OutOfMemory));
+    assert!(active.is_evicted());
+    active.protect();
+    assert!(!active.is_evicted());
 }
 
 #[test]
