--- a/node/benches/memory/forms.rs
+++ b/node/benches/memory/forms.rs
@@ -2,6 +2,7 @@
 
 use sablerun_stand_ins::scripted::{api_request, job};
 use serde_json::json;
+use std::time::Duration;
 
 /// The largest body of a message, in bytes.
 const MAX_BODY_BYTES: usize = 64 * 1024;
@@ -38,6 +39,8 @@
     pub text: Vec<u8>,
     /// The most bytes that are sent at once; all of them by default.
     pub piece_bytes: usize,
+    /// Pause before each piece.
+    pub pause: Duration,
     pub clients: usize,
 }
 
@@ -83,6 +86,7 @@
         target,
         text: text.into_bytes(),
         piece_bytes: usize::MAX,
+        pause: Duration::ZERO,
         clients,
     };
     let x = |count: usize| "x".repeat(count);
@@ -107,6 +111,26 @@
         form("http length, 60 MB", Target::Platform, sized(60_000_000) + &x(2_000_000)),
         form("http chunks of 1, 60,000", Target::Platform, chunked("") + &"1\r\nx\r\n".repeat(60_000)),
         form("http chunks of 1, 3,000", Target::Platform, chunked("") + &"1\r\nx\r\n".repeat(3_000)),
+        Form {
+            piece_bytes: 7,
+            ..form(
+                "http chunks of 1, 3,000 by 7 bytes",
+                Target::Platform,
+                chunked("") + &"1\r\nx\r\n".repeat(3_000),
+            )
+        },
+        Form {
+            piece_bytes: 2_000,
+            pause: Duration::from_millis(40),
+            ..form(
+                "http length, 64,000 by 2,000, slowly",
+                Target::Platform,
+                sized(MAX_BODY_BYTES) + &x(64_000),
+            )
+        },
+        form("http upgrade, until the close", Target::Platform, {
+            request("bin-check", "Connection: Upgrade\r\nUpgrade: x", "") + &x(64_000)
+        }),
         form(
             "http chunks of 16, 4,000",
             Target::Platform,
--- a/node/benches/memory/main.rs
+++ b/node/benches/memory/main.rs
@@ -18,11 +18,11 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-/// The memory limits played, in MB: the smallest and the largest one of the platform.
-const MEMORY_MB: [u64; 2] = [32, 192];
-const DESCRIPTORS: u64 = 1024;
-/// A third of the descriptors.
-const BAD_CLIENTS: usize = 341;
+/// The limits played: memory in MB and descriptors. The smallest of both that the platform has, the smallest
+/// memory with the most descriptors, and the largest of both.
+const LIMITS: [(u64, u64); 3] = [(32, 256), (32, 1024), (192, 1024)];
+/// The bad clients hold a third of the descriptors.
+const DESCRIPTORS_FOR_EACH_BAD_CLIENT: u64 = 3;
 const DURATION: Duration = Duration::from_secs(3);
 const SAMPLE_INTERVAL: Duration = Duration::from_millis(5);
 
@@ -33,12 +33,28 @@
     pub(crate) closed: AtomicU64,
     /// Neither within the time that bad clients are owed.
     pub(crate) neither: AtomicU64,
+    pub(crate) small: UsualJobs,
+    /// Jobs whose bodies need a reservation.
+    pub(crate) large: UsualJobs,
+}
+
+/// How the jobs of a usual client ended.
+#[derive(Default)]
+pub(crate) struct UsualJobs {
     pub(crate) served: AtomicU64,
     pub(crate) not_served: AtomicU64,
     /// The slowest served job, in milliseconds.
     pub(crate) slowest_ms: AtomicU64,
 }
 
+impl std::fmt::Display for UsualJobs {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        let UsualJobs { served, not_served, slowest_ms } = self;
+        let (served, not_served) = (served.load(Relaxed), not_served.load(Relaxed));
+        write!(f, "served {served:>3} not {not_served:>3} slowest {:>4} ms", slowest_ms.load(Relaxed))
+    }
+}
+
 /// What the threads of one play share.
 pub(crate) struct Play {
     pub(crate) stop: AtomicBool,
@@ -64,7 +80,7 @@
 }
 
 /// Plays one form under one memory limit; returns whether the peak was within the limit.
-fn play(form: &Form, memory_mb: u64) -> bool {
+fn play(form: &Form, memory_mb: u64, descriptors: u64) -> bool {
     let play = Arc::new(Play { stop: AtomicBool::new(false), ends: Ends::default() });
     let runner = peers::Runner::start(form);
     let hosts = vec![host("s-0", runner.address, "hall-a", "active")];
@@ -74,7 +90,7 @@
         _ => discovery.address,
     };
     let mut config = Program::config(discovery_address, settings());
-    config["limits"] = json!({"cores": 1.0, "memory_mb": memory_mb, "sockets": DESCRIPTORS});
+    config["limits"] = json!({"cores": 1.0, "memory_mb": memory_mb, "sockets": descriptors});
     let gateway = match form.target {
         Target::Faktory | Target::PassingWorkers => Some(GATEWAY_CONFIG.to_owned()),
         Target::Tls => Some(identities::gateway_config()),
@@ -91,9 +107,9 @@
     let process = program.child.id();
     let before_kb = memory_kb(process, "VmRSS");
     let mut threads = Vec::new();
-    {
+    for large in [false, true] {
         let (play, address) = (play.clone(), program.address);
-        threads.push(thread::spawn(move || peers::usual_client(&play, address)));
+        threads.push(thread::spawn(move || peers::usual_client(&play, address, large)));
     }
     let address = target_address(&program, form.target);
     let text = Arc::new(form.text.clone());
@@ -113,8 +129,8 @@
     let count = |counter: &AtomicU64| counter.load(Relaxed);
     let (ends, ratio) = (&play.ends, peak_kb as f64 / 1024.0 / memory_mb as f64);
     println!(
-        "{:<34} {memory_mb:>3} MB  from {:>5.1}  peak {:>6.1} MB  ratio {ratio:>5.2}{}  bad: error {:>5} closed {:>5} \
-         neither {:>4}  usual: served {:>3} not {:>3} slowest {:>4} ms",
+        "{:<37} {memory_mb:>3} MB {descriptors:>4}  from {:>4.1}  peak {:>6.1}  ratio {ratio:>5.2}{}  bad: error {:>6} \
+         closed {:>5} neither {:>3}  small: {}  large: {}",
         form.name,
         before_kb as f64 / 1024.0,
         peak_kb as f64 / 1024.0,
@@ -122,9 +138,8 @@
         count(&ends.answered),
         count(&ends.closed),
         count(&ends.neither),
-        count(&ends.served),
-        count(&ends.not_served),
-        count(&ends.slowest_ms),
+        ends.small,
+        ends.large,
     );
     ratio <= 1.0
 }
@@ -132,12 +147,13 @@
 fn main() {
     let words: Vec<_> = std::env::args().skip(1).filter(|word| !word.starts_with("--")).collect();
     let mut within = true;
-    for form in forms::all(BAD_CLIENTS) {
-        if !words.iter().all(|word| form.name.contains(word.as_str())) {
-            continue;
-        }
-        for memory_mb in MEMORY_MB {
-            within &= play(&form, memory_mb);
+    for number in 0..forms::all(0).len() {
+        for (memory_mb, descriptors) in LIMITS {
+            let bad_clients = (descriptors / DESCRIPTORS_FOR_EACH_BAD_CLIENT) as usize;
+            let form = forms::all(bad_clients).swap_remove(number);
+            if words.iter().all(|word| form.name.contains(word.as_str())) {
+                within &= play(&form, memory_mb, descriptors);
+            }
         }
     }
     if !within {
--- a/node/benches/memory/peers.rs
+++ b/node/benches/memory/peers.rs
@@ -17,6 +17,8 @@
 const OWED_WITHIN: Duration = Duration::from_millis(3_000);
 /// Pause between two jobs of the usual client.
 const PAUSE: Duration = Duration::from_millis(50);
+/// Body of a large usual job.
+const LARGE_BODY_BYTES: usize = 20_000;
 const JOB_TIMEOUT: Duration = Duration::from_millis(5_500);
 /// Receive buffer of a client that does not read its answer.
 const UNREAD_RECEIVE_BUFFER_BYTES: usize = 2048;
@@ -29,7 +31,11 @@
     if let Some(at) = text.windows(ID.len()).position(|part| part == ID.as_bytes()) {
         text[at..at + ID.len()].copy_from_slice(new_id().as_bytes());
     }
-    text.chunks(form.piece_bytes.min(text.len().max(1))).try_for_each(|piece| stream.write_all(piece))
+    stream.set_nodelay(form.piece_bytes < text.len())?;
+    text.chunks(form.piece_bytes.min(text.len().max(1))).try_for_each(|piece| {
+        thread::sleep(form.pause);
+        stream.write_all(piece)
+    })
 }
 
 /// Connects; where the answer is not to be read, with a receive buffer that does not hold it.
@@ -86,17 +92,19 @@
     }
 }
 
-/// Hands in small jobs at a steady rate, each on a new connection.
-pub fn usual_client(play: &Play, address: SocketAddr) {
+/// Hands in jobs with small or large bodies at a steady rate, each on a new connection.
+pub fn usual_client(play: &Play, address: SocketAddr, large: bool) {
+    let jobs = if large { &play.ends.large } else { &play.ends.small };
+    let body = if large { format!("usual{}", " ".repeat(LARGE_BODY_BYTES)) } else { "usual".to_owned() };
     while !play.stop.load(Relaxed) {
         let began = Instant::now();
         let head = format!("{}\r\nConnection: close", api_request("short-pick", &new_id(), "5000m", ""));
-        let served = call_blocking(address, &head, "usual").is_some_and(|answer| answer.status() == 200);
+        let served = call_blocking(address, &head, &body).is_some_and(|answer| answer.status() == 200);
         let took = began.elapsed();
-        let counter = if served { &play.ends.served } else { &play.ends.not_served };
+        let counter = if served { &jobs.served } else { &jobs.not_served };
         counter.fetch_add(1, Relaxed);
         if served || took > JOB_TIMEOUT {
-            play.ends.slowest_ms.fetch_max(took.as_millis() as u64, Relaxed);
+            jobs.slowest_ms.fetch_max(took.as_millis() as u64, Relaxed);
         }
         thread::sleep(PAUSE);
     }
@@ -134,7 +142,7 @@
     let mut reader = BufReader::new(stream);
     while let Some(request) = read_message(&mut reader) {
         let id = request.header("x-request-id").to_owned();
-        let result = match request.body.as_str() {
+        let result = match request.body.trim_end() {
             "usual" => "done".to_owned(),
             "result" => "r".repeat(RESULT_BYTES),
             _ if form.target == Target::Runner => {
