Reserve a stated length at once, and give up stalled messages after 0.1 s without memory

What callers saw: while 341 bad clients filled the memory of a dispatcher with 32 MB, usual jobs with bodies of 20 kB were mostly refused (1 served, 3 refused in 3 s beside unfinished bodies of 65,400 bytes). Small jobs were served.

Cause: a body's buffer grew by doubling and waited in turn behind the bad clients for each step; each stalled body held its memory for 0.25 s.

Change: a body with a stated length reserves it in one step. A message that stalls is given up after 0.1 s, but only while others need its memory.

--- a/node/src/limits.rs
+++ b/node/src/limits.rs
@@ -24,6 +24,8 @@
     pub faktory_memory_bytes: usize,
     /// Memory for the lists of discovery that are being read, in bytes.
     pub list_memory_bytes: usize,
+    /// Time without a byte after which an unfinished message is refused if others need its memory.
+    pub evict_from_memory_after: Duration,
     /// Time to wait for memory before a message is refused.
     pub memory_timeout: Duration,
     /// Most requests open at once.
@@ -147,6 +149,7 @@
             message_memory_bytes,
             faktory_memory_bytes: message_memory_bytes,
             list_memory_bytes: memory_bytes / 8,
+            evict_from_memory_after: Duration::from_millis(100),
             memory_timeout: Duration::from_millis(800),
             max_open: fits.min(configured).max(1),
             max_client_connections,
--- a/node/src/memory/buffer.rs
+++ b/node/src/memory/buffer.rs
@@ -15,6 +15,8 @@
     reservation: Reservation,
     /// Memory that receiving takes besides the buffer, in bytes.
     overhead_bytes: usize,
+    /// The stated length of the message, or 0: reserved at once, so that memory is waited for only once.
+    expected_bytes: usize,
 }
 
 impl ReceiveBuffer {
@@ -23,13 +25,19 @@
 
     /// Creates an empty buffer.
     pub fn new(budget: &MemoryBudget) -> ReceiveBuffer {
-        ReceiveBuffer::with_overhead(budget, 0)
-    }
-
-    /// Creates an empty buffer for a message whose receiving takes this much memory besides.
-    pub fn with_overhead(budget: &MemoryBudget, overhead_bytes: usize) -> ReceiveBuffer {
-        let reservation = budget.reservation();
-        ReceiveBuffer { bytes: Vec::new(), budget: budget.clone(), reservation, overhead_bytes }
+        ReceiveBuffer::expecting(budget, 0, 0)
+    }
+
+    /// Creates an empty buffer for a message of a stated length, or 0, whose receiving takes `overhead_bytes` of
+    /// memory besides.
+    pub fn expecting(budget: &MemoryBudget, expected_bytes: usize, overhead_bytes: usize) -> ReceiveBuffer {
+        ReceiveBuffer {
+            bytes: Vec::new(),
+            budget: budget.clone(),
+            reservation: budget.reservation(),
+            overhead_bytes,
+            expected_bytes,
+        }
     }
 
     /// Returns the bytes to reserve for a capacity.
@@ -59,8 +67,9 @@
 
     /// Returns the next capacity, at most `max_bytes`; `None` if there is room or the buffer can't grow.
     fn next_capacity(&self, max_bytes: usize) -> Option<usize> {
-        let doubled = (self.bytes.capacity() * 2).max(Self::PREPAID_BYTES).min(max_bytes);
-        (self.spare() == 0 && doubled > self.bytes.len()).then_some(doubled)
+        let least = Self::PREPAID_BYTES.max(self.expected_bytes);
+        let capacity = (self.bytes.capacity() * 2).max(least).min(max_bytes);
+        (self.spare() == 0 && capacity > self.bytes.len()).then_some(capacity)
     }
 
     fn set_capacity(&mut self, capacity: usize) {
@@ -165,6 +174,7 @@
             budget: self.budget.clone(),
             reservation: std::mem::replace(&mut self.reservation, reservation),
             overhead_bytes: self.overhead_bytes,
+            expected_bytes: self.expected_bytes,
         };
         taken.into_bytes()
     }
--- a/node/src/net/faktory.rs
+++ b/node/src/net/faktory.rs
@@ -343,7 +343,10 @@
         let identities = config.tls.clone().map(Identities::load).transpose()?;
         Ok(Rc::new(Faktory {
             runtime: runtime.clone(),
-            memory: MemoryBudget::new(runtime.limits.faktory_memory_bytes, runtime.limits.evict_silent_after),
+            memory: MemoryBudget::new(
+                runtime.limits.faktory_memory_bytes,
+                runtime.limits.evict_from_memory_after,
+            ),
             config,
             password: password.map(|text| text.trim().to_owned()),
             identities,
--- a/node/src/net/platform/body.rs
+++ b/node/src/net/platform/body.rs
@@ -32,19 +32,21 @@
     /// Most bytes at a time.
     piece_bytes: usize,
     overhead_bytes: usize,
+    /// The stated length, or 0.
+    expected_bytes: usize,
 }
 
 impl Passing {
     fn of(stage: Stage) -> Passing {
-        let (piece_bytes, overhead_bytes) = match stage {
-            Stage::ReadingBody(BodyRest::Chunked(_)) => (CHUNKED_PIECE_BYTES, CHUNKED_OVERHEAD_BYTES),
+        let (piece_bytes, overhead_bytes, expected_bytes) = match stage {
+            Stage::ReadingBody(BodyRest::Chunked(_)) => (CHUNKED_PIECE_BYTES, CHUNKED_OVERHEAD_BYTES, 0),
             Stage::ReadingBody(BodyRest::Sized(length)) if length > ReceiveBuffer::PREPAID_BYTES => {
-                (SIZED_PIECE_BYTES, SIZED_OVERHEAD_BYTES)
+                (SIZED_PIECE_BYTES, SIZED_OVERHEAD_BYTES, length)
             }
-            Stage::ReadingBody(BodyRest::UntilClose) => (SIZED_PIECE_BYTES, SIZED_OVERHEAD_BYTES),
-            _ => (SIZED_PIECE_BYTES, 0),
+            Stage::ReadingBody(BodyRest::UntilClose) => (SIZED_PIECE_BYTES, SIZED_OVERHEAD_BYTES, 0),
+            _ => (SIZED_PIECE_BYTES, 0, 0),
         };
-        Passing { piece_bytes, overhead_bytes }
+        Passing { piece_bytes, overhead_bytes, expected_bytes }
     }
 }
 
@@ -85,7 +87,8 @@
             log::debug!("a body is refused: no memory for it");
             Reply::out_of_memory()
         };
-        let mut body = ReceiveBuffer::with_overhead(&self.runtime.memory, passing.overhead_bytes);
+        let Passing { piece_bytes, overhead_bytes, expected_bytes } = passing;
+        let mut body = ReceiveBuffer::expecting(&self.runtime.memory, expected_bytes, overhead_bytes);
         loop {
             match next_event(&mut payload, &body, connection).await? {
                 BodyEvent::Chunk(chunk) if body.len() + chunk.len() > limits.max_body_bytes => {
@@ -100,7 +103,7 @@
                     let making_room = body.make_room(limits.max_body_bytes, limits.memory_timeout);
                     making_room.await.map_err(out_of_memory)?;
                     // Without any room only the framing may follow, or the body is too large.
-                    connection.grant_body_bytes(body.spare().clamp(1, passing.piece_bytes));
+                    connection.grant_body_bytes(body.spare().clamp(1, piece_bytes));
                 }
                 BodyEvent::End => return Ok(body.into_bytes()),
             }
--- a/node/src/runtime.rs
+++ b/node/src/runtime.rs
@@ -60,7 +60,7 @@
 
 impl Runtime {
     pub fn new(core: Core<Rc<Job>>, clock: Clock, limits: Limits) -> Rc<Runtime> {
-        let memory = MemoryBudget::new(limits.message_memory_bytes, limits.evict_silent_after);
+        let memory = MemoryBudget::new(limits.message_memory_bytes, limits.evict_from_memory_after);
         Rc::new(Runtime {
             limits,
             memory,
