--- a/review/stand-ins-2/src/cases/mod.rs
+++ b/review/stand-ins-2/src/cases/mod.rs
@@ -1,6 +1,10 @@
 //! The cases, and what they share.
 
+mod disabled_worker;
+mod foreign_id;
+mod late_fetch;
 mod new_settings;
+mod planned_restart;
 
 use crate::discovery::{Discovery, Host};
 use crate::dispatcher::Dispatcher;
@@ -30,7 +34,11 @@
     /// Plays the case of this name.
     pub fn play(&self, name: &str) -> Played {
         match name {
+            "disabled-worker" => disabled_worker::play(self),
+            "foreign-id" => foreign_id::play(self),
+            "late-fetch" => late_fetch::play(self),
             "new-settings" => new_settings::play(self),
+            "planned-restart" => planned_restart::play(self),
             _ => Err(format!("no case {name}")),
         }
     }
--- a/review/stand-ins-2/src/faktory.rs
+++ b/review/stand-ins-2/src/faktory.rs
@@ -31,6 +31,11 @@
         Ok(connection)
     }
 
+    /// Another handle of its socket.
+    pub fn socket(&self) -> io::Result<TcpStream> {
+        self.reader.get_ref().try_clone()
+    }
+
     fn read_line(&mut self) -> io::Result<String> {
         let mut line = String::new();
         match self.reader.read_line(&mut line)? {
