--- a/review/stand-ins-2/src/cases/mod.rs
+++ b/review/stand-ins-2/src/cases/mod.rs
@@ -4,14 +4,16 @@
 mod foreign_id;
 mod late_fetch;
 mod new_settings;
+mod pipeline;
 mod planned_restart;
+mod stale_snapshot;
 
 use crate::discovery::{Discovery, Host};
 use crate::dispatcher::Dispatcher;
 use crate::record::Record;
 use crate::runner::{Effect, Hall, Runner};
 use std::collections::{BTreeMap, BTreeSet};
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpListener};
 use std::sync::{Arc, Mutex};
 
 /// How a case ended.
@@ -38,6 +40,8 @@
             "foreign-id" => foreign_id::play(self),
             "late-fetch" => late_fetch::play(self),
             "new-settings" => new_settings::play(self),
+            "stale-snapshot" => stale_snapshot::play(self),
+            "pipeline" => pipeline::play(self),
             "planned-restart" => planned_restart::play(self),
             _ => Err(format!("no case {name}")),
         }
@@ -58,19 +62,33 @@
     runners: &[(&str, &str)],
     slots: usize,
 ) -> std::io::Result<(Dispatcher, Effects)> {
+    let (dispatcher, effects, runners) = with_held_runners(case, runners, slots)?;
+    runners.into_iter().for_each(|(runner, listener)| runner.serve(listener));
+    Ok((dispatcher, effects))
+}
+
+/// Runners with their listeners, which are bound but not served yet.
+pub type HeldRunners = Vec<(Runner, TcpListener)>;
+
+/// The same with runners that do not accept connections yet.
+pub fn with_held_runners(
+    case: &Case,
+    runners: &[(&str, &str)],
+    slots: usize,
+) -> std::io::Result<(Dispatcher, Effects, HeldRunners)> {
     let effects = Effects::default();
     let listen = crate::dispatcher::free_address();
     let mut halls: BTreeMap<&str, Hall> = BTreeMap::new();
-    let mut hosts = Vec::new();
+    let (mut hosts, mut held) = (Vec::new(), Vec::new());
     for (name, hall) in runners {
         let hall = halls.entry(hall).or_insert_with(|| Hall::new(hall)).clone();
         let (runner, listener) = Runner::bind(name, &hall, slots, listen, &effects, &case.record)?;
-        runner.serve(listener);
         hosts.push(host(&runner.name, runner.address, &hall.name));
+        held.push((runner, listener));
     }
     let discovery = Discovery::start(hosts)?;
     let dispatcher = Dispatcher::new("n0", listen, discovery.address)?;
-    Ok((dispatcher, effects))
+    Ok((dispatcher, effects, held))
 }
 
 /// An active runner's entry in the list.
--- a/review/stand-ins-2/src/faktory.rs
+++ b/review/stand-ins-2/src/faktory.rs
@@ -36,7 +36,8 @@
         self.reader.get_ref().try_clone()
     }
 
-    fn read_line(&mut self) -> io::Result<String> {
+    /// Reads a line without its ending.
+    pub fn read_line(&mut self) -> io::Result<String> {
         let mut line = String::new();
         match self.reader.read_line(&mut line)? {
             0 => Err(io::ErrorKind::UnexpectedEof.into()),
