--- a/review/stand-ins-2/src/cases/stale_snapshot.rs
+++ b/review/stand-ins-2/src/cases/stale_snapshot.rs
@@ -13,14 +13,15 @@
 
 /// Plays the case.
 pub fn play(case: &Case) -> Played {
-    let (mut dispatcher, effects, listeners) =
-        with_held_runners(case, &[("s-a1", "hall-a"), ("s-b1", "hall-b")], 8).map_err(text)?;
+    let runners =
+        [("s-a1", "hall-a"), ("s-b1", "hall-b"), ("s-b2", "hall-b"), ("s-c1", "hall-c"), ("s-c2", "hall-c")];
+    let (mut dispatcher, effects, listeners) = with_held_runners(case, &runners, 8).map_err(text)?;
     let mut listeners = listeners.into_iter();
     let (local, local_listener) = listeners.next().ok_or("no runner")?;
     for (runner, listener) in listeners {
         runner.serve(listener);
     }
-    // Connections to a runner whose queue of connections is full come up late.
+    // New connections to a listener whose queue is full do not come up.
     let mut crowd = Vec::new();
     while case.trouble && crowd.len() < 400 {
         let Ok(one) = TcpStream::connect_timeout(&local.address, Duration::from_millis(60)) else { break };
@@ -28,7 +29,7 @@
     }
     let mut held_listener = Some(local_listener);
     if case.trouble {
-        case.record.line(format!("connections to s-a1 come up late: {} stand in its queue", crowd.len()));
+        case.record.line(format!("s-a1 falls silent: new connections do not come up, {} fill its queue", crowd.len()));
     } else if let Some(listener) = held_listener.take() {
         local.serve(listener);
     }
@@ -50,6 +51,7 @@
         dispatcher.kill();
         case.record.line("the dispatcher is killed");
         drop(crowd);
+        case.record.line("s-a1 is back");
         if let Some(listener) = held_listener.take() {
             local.serve(listener);
         }
