--- a/review/stand-ins-2/src/cases/foreign_id.rs
+++ b/review/stand-ins-2/src/cases/foreign_id.rs
@@ -1,7 +1,6 @@
 //! A bad client pushes jobs under the ids of another member's open jobs.
 
-use super::planned_restart::operator;
-use super::{Case, Played, Verdict, text, with_runners};
+use super::{Case, Played, Verdict, faktory_section, text, with_runners};
 use crate::dispatcher::{Settings, free_address};
 use crate::faktory::{Connection, Push};
 use std::net::SocketAddr;
@@ -18,7 +17,7 @@
     dispatcher.configure(&Settings::default()).map_err(text)?;
     let faktory = free_address();
     let keys = "[keys]\nentries = 50000\nmemory_mb = 16\n";
-    dispatcher.start(&format!("{keys}{}", operator(faktory))).map_err(text)?;
+    dispatcher.start(&format!("{keys}{}", faktory_section(faktory))).map_err(text)?;
     let mut usual = Vec::new();
     let mut bad = Vec::new();
     for number in 0..JOBS {
@@ -38,7 +37,8 @@
     let (usual, bad) = (replies(usual)?, replies(bad)?);
     let unserved = usual.iter().filter(|reply| *reply != "+OK").count();
     let served = bad.iter().filter(|reply| *reply == "+OK").count();
-    case.record.line(format!("of {JOBS} usual jobs {unserved} were not served; of {JOBS} others {served} were"));
+    case.record
+        .line(format!("of {JOBS} usual jobs {unserved} were not served; of {JOBS} others {served} were"));
     Ok(match case.trouble {
         true if served > 0 => Verdict::Broken(format!(
             "{served} of {JOBS} jobs under the id of another member's open job were served as though they had \
--- a/review/stand-ins-2/src/cases/late_fetch.rs
+++ b/review/stand-ins-2/src/cases/late_fetch.rs
@@ -1,8 +1,7 @@
 //! A Faktory worker crashes in the middle of a keyed job. The job waits for the next FETCH of another worker of
 //! its hall, which comes after the window for repeats.
 
-use super::planned_restart::{WARM_UP, operator};
-use super::{Case, Effects, Played, judge_effects, text};
+use super::{Case, Effects, Played, WARM_UP, faktory_section, judge_effects, text};
 use crate::discovery::Discovery;
 use crate::dispatcher::{Dispatcher, Settings, free_address};
 use crate::faktory::{Connection, Push, key_of};
@@ -31,12 +30,12 @@
 
 /// Plays the case.
 pub fn play(case: &Case) -> Played {
-    let discovery = Discovery::start(Vec::new()).map_err(text)?;
+    let discovery = Discovery::start(&[]).map_err(text)?;
     let faktory = free_address();
     let mut dispatcher = Dispatcher::new("n0", free_address(), discovery.address).map_err(text)?;
     let window_ms = WINDOW.as_millis() as u64;
     dispatcher.configure(&Settings { window_ms, ..Settings::default() }).map_err(text)?;
-    dispatcher.start(&operator(faktory)).map_err(text)?;
+    dispatcher.start(&faktory_section(faktory)).map_err(text)?;
     let hall = Hall::default();
     let mut sockets = HashMap::new();
     for wid in MEMBERS {
@@ -65,12 +64,7 @@
 }
 
 /// A worker with one connection. Drops the repeat of a job that a worker of its hall got within the window.
-fn work(
-    mut connection: Connection,
-    wid: &str,
-    hall: &Hall,
-    record: &Record,
-) -> std::io::Result<()> {
+fn work(mut connection: Connection, wid: &str, hall: &Hall, record: &Record) -> std::io::Result<()> {
     loop {
         let Some(frame) = connection.fetch("waves")? else { continue };
         let (jid, key) = (string_field(&frame, "jid").unwrap_or_default(), key_of(&frame));
@@ -88,8 +82,7 @@
         } else {
             record.line(format!("worker {wid} RUNS {jid} of key {key}{age}"));
             hall.running.lock().expect("no holder panics").insert(wid.to_owned(), key.clone());
-            let effect =
-                Effect { key, hall: "hall-a".to_owned(), runner: wid.to_owned(), id: jid.clone() };
+            let effect = Effect { key, hall: "hall-a".to_owned(), runner: wid.to_owned(), id: jid.clone() };
             hall.effects.lock().expect("no holder panics").push(effect);
             thread::sleep(Duration::from_millis(work_ms(&frame)));
         }
--- a/review/stand-ins-2/src/cases/mod.rs
+++ b/review/stand-ins-2/src/cases/mod.rs
@@ -1,20 +1,19 @@
 //! The cases, and what they share.
 
-mod disabled_worker;
 mod foreign_id;
 mod late_fetch;
 mod new_settings;
-mod pipeline;
-mod planned_restart;
-mod stale_snapshot;
+mod upgrade_id;
+mod upgrade_memory;
 
 use crate::discovery::{Discovery, Host};
 use crate::dispatcher::Dispatcher;
 use crate::record::Record;
 use crate::runner::{Effect, Hall, Runner};
 use std::collections::{BTreeMap, BTreeSet};
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
+use std::time::Duration;
 
 /// How a case ended.
 pub enum Verdict {
@@ -36,13 +35,11 @@
     /// Plays the case of this name.
     pub fn play(&self, name: &str) -> Played {
         match name {
-            "disabled-worker" => disabled_worker::play(self),
             "foreign-id" => foreign_id::play(self),
             "late-fetch" => late_fetch::play(self),
             "new-settings" => new_settings::play(self),
-            "stale-snapshot" => stale_snapshot::play(self),
-            "pipeline" => pipeline::play(self),
-            "planned-restart" => planned_restart::play(self),
+            "upgrade-id" => upgrade_id::play(self),
+            "upgrade-memory" => upgrade_memory::play(self),
             _ => Err(format!("no case {name}")),
         }
     }
@@ -62,38 +59,38 @@
     runners: &[(&str, &str)],
     slots: usize,
 ) -> std::io::Result<(Dispatcher, Effects)> {
-    let (dispatcher, effects, runners) = with_held_runners(case, runners, slots)?;
-    runners.into_iter().for_each(|(runner, listener)| runner.serve(listener));
-    Ok((dispatcher, effects))
+    with_runners_at(case, crate::dispatcher::free_address(), runners, slots)
 }
 
-/// Runners with their listeners, which are bound but not served yet.
-pub type HeldRunners = Vec<(Runner, TcpListener)>;
-
-/// The same with runners that do not accept connections yet.
-pub fn with_held_runners(
+/// The same with a dispatcher that listens at this address.
+pub fn with_runners_at(
     case: &Case,
+    listen: SocketAddr,
     runners: &[(&str, &str)],
     slots: usize,
-) -> std::io::Result<(Dispatcher, Effects, HeldRunners)> {
+) -> std::io::Result<(Dispatcher, Effects)> {
     let effects = Effects::default();
-    let listen = crate::dispatcher::free_address();
     let mut halls: BTreeMap<&str, Hall> = BTreeMap::new();
-    let (mut hosts, mut held) = (Vec::new(), Vec::new());
+    let mut hosts = Vec::new();
     for (name, hall) in runners {
         let hall = halls.entry(hall).or_insert_with(|| Hall::new(hall)).clone();
-        let (runner, listener) = Runner::bind(name, &hall, slots, listen, &effects, &case.record)?;
-        hosts.push(host(&runner.name, runner.address, &hall.name));
-        held.push((runner, listener));
+        let runner = Runner::start(name, &hall, slots, listen, &effects, &case.record)?;
+        hosts.push(Host { name: runner.name, dial: runner.address, hall: hall.name });
     }
-    let discovery = Discovery::start(hosts)?;
+    let discovery = Discovery::start(&hosts)?;
     let dispatcher = Dispatcher::new("n0", listen, discovery.address)?;
-    Ok((dispatcher, effects, held))
+    Ok((dispatcher, effects))
 }
 
-/// An active runner's entry in the list.
-pub fn host(name: &str, dial: SocketAddr, hall: &str) -> Host {
-    Host { name: name.to_owned(), dial, hall: hall.to_owned(), health: "active" }
+/// How long a Faktory worker that has just connected counts as cold, and a little more.
+pub const WARM_UP: Duration = Duration::from_millis(9000);
+
+/// The operator's file of a Faktory front on this address.
+pub fn faktory_section(listen: SocketAddr) -> String {
+    format!(
+        "[faktory]\nlisten = \"{listen}\"\nplaintext = true\nzone = \"hall-a\"\nkind = \"k4-full\"\n\
+         [[faktory.route]]\nqueue = \"waves\"\nclass = \"wave-release\"\n"
+    )
 }
 
 /// The keys that took effect more than once, each with where it did.
--- a/review/stand-ins-2/src/cases/new_settings.rs
+++ b/review/stand-ins-2/src/cases/new_settings.rs
@@ -46,12 +46,7 @@
 }
 
 /// Sends the first try of a job, or a marked repeat on another connection while the first waits.
-fn send(
-    case: &Case,
-    listen: &std::net::SocketAddr,
-    number: usize,
-    retried: bool,
-) -> thread::JoinHandle<()> {
+fn send(case: &Case, listen: &std::net::SocketAddr, number: usize, retried: bool) -> thread::JoinHandle<()> {
     let id = format!("{:016x}", 0x9b1f_03aa_5c7e_0000_u64 + number as u64 * 2 + u64::from(retried));
     let job = Job {
         id,
--- a/review/stand-ins-2/src/dispatcher.rs
+++ b/review/stand-ins-2/src/dispatcher.rs
@@ -4,7 +4,8 @@
 use std::fs::{self, File};
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::path::{Path, PathBuf};
+use std::os::fd::OwnedFd;
+use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::Mutex;
 use std::time::{Duration, Instant};
@@ -18,11 +19,13 @@
     pub deadline_ms: u64,
     /// The window for repeats, in milliseconds.
     pub window_ms: u64,
+    /// The limit of memory, in MiB.
+    pub memory_mb: u64,
 }
 
 impl Default for Settings {
     fn default() -> Settings {
-        Settings { wave_objective_ms: 400, deadline_ms: 6000, window_ms: 10_000 }
+        Settings { wave_objective_ms: 400, deadline_ms: 6000, window_ms: 10_000, memory_mb: 192 }
     }
 }
 
@@ -45,9 +48,8 @@
             self.class("short-pick", 150, 3, "dedup", "all"),
         ]
         .join(",");
-        let tenants = [("mehran", 60), ("indus", 40), ("ravi", 30)].map(|(name, quota)| {
-            format!("{{\"name\":\"{name}\",\"quotaPerS\":{quota},\"share\":0.33}}")
-        });
+        let tenants = [("mehran", 60), ("indus", 40), ("ravi", 30)]
+            .map(|(name, quota)| format!("{{\"name\":\"{name}\",\"quotaPerS\":{quota},\"share\":0.33}}"));
         format!(
             r#"{{"balancers":3,"me":0,"zone":"hall-a","failureDomains":["hall-a","hall-b","hall-c"],
 "kinds":["k4-full"],"stages":["pick-nodes"],"tier":0,"tick":4000000,"weights":"nominal","workload":"jobs",
@@ -111,21 +113,17 @@
         Ok(Dispatcher { listen, admin, discovery, folder, run, starts: 0, process: None })
     }
 
-    /// The folder of the dispatcher's files.
-    pub fn folder(&self) -> &Path {
-        &self.folder
-    }
-
     /// Writes the configuration.
     pub fn configure(&self, settings: &Settings) -> std::io::Result<()> {
         let config = format!(
             "{{\"name\":\"n0\",\"listen\":\"{}\",\"discovery\":\"{}\",\"admin_addr\":\"{}\",\
-             \"seed\":\"{:x}\",\"limits\":{{\"cores\":1.0,\"memory_mb\":192,\"sockets\":1024}},\
+             \"seed\":\"{:x}\",\"limits\":{{\"cores\":1.0,\"memory_mb\":{},\"sockets\":1024}},\
              \"known\":{{\"seq\":0,\"whole\":true,\"hosts\":[]}},\n\"settings\":{}}}",
             self.listen,
             self.discovery,
             self.admin,
             std::process::id() + self.starts * 7919 + 1,
+            settings.memory_mb,
             settings.json()
         );
         fs::write(self.folder.join("new.json"), config)?;
@@ -136,35 +134,76 @@
     pub fn start(&mut self, operator: &str) -> std::io::Result<()> {
         let file = self.folder.join("operator.toml");
         fs::write(&file, operator)?;
+        self.spawn(&format!("{} run --config {}", self.run, file.display()), None)?;
+        let deadline = Instant::now() + Duration::from_secs(30);
+        while Instant::now() < deadline {
+            let up = format!("GET /up HTTP/1.1\r\nHost: {}\r\nConnection: close\r\n\r\n", self.listen);
+            if call(self.listen, &up, Duration::from_secs(1)).is_ok_and(|answer| answer.word(1) == "200") {
+                return Ok(());
+            }
+            std::thread::sleep(Duration::from_millis(50));
+        }
+        Err(std::io::Error::other("the dispatcher was not ready within 30 s"))
+    }
+
+    /// Starts the process by `run` as it stands, on a listening socket that the platform holds, as descriptor 5,
+    /// and waits for the yes of its admin socket.
+    pub fn start_on(&mut self, held: &TcpListener) -> std::io::Result<()> {
+        self.spawn(&format!("exec 5<&0 </dev/null; {}", self.run), Some(held))?;
+        let deadline = Instant::now() + Duration::from_secs(6);
+        while Instant::now() < deadline {
+            if self.admin("READY").is_ok_and(|answer| answer.starts_with("OK")) {
+                return Ok(());
+            }
+            std::thread::sleep(Duration::from_millis(20));
+        }
+        Err(std::io::Error::other("the dispatcher did not say yes within 6 s"))
+    }
+
+    /// The process that is to replace this one: the same addresses and folder, but for the admin socket.
+    pub fn successor(&self) -> Dispatcher {
+        Dispatcher {
+            listen: self.listen,
+            admin: free_address(),
+            discovery: self.discovery,
+            folder: self.folder.clone(),
+            run: self.run.clone(),
+            starts: self.starts,
+            process: None,
+        }
+    }
+
+    fn spawn(&mut self, command: &str, held: Option<&TcpListener>) -> std::io::Result<()> {
         self.starts += 1;
         let log = File::create(self.folder.join(format!("log-{}.txt", self.starts)))?;
         let level = std::env::var("RUST_LOG").unwrap_or_else(|_| "info".to_owned());
-        let process = Command::new("/bin/sh")
-            .arg("-c")
-            .arg(format!("{} run --config {}", self.run, file.display()))
+        let mut sh = Command::new("/bin/sh");
+        sh.arg("-c")
+            .arg(command)
             .env("NODE_NAME", "n0")
             .env("NODE_LISTEN", self.listen.to_string())
             .env("NODE_DISCOVERY", self.discovery.to_string())
             .env("NODE_CONFIG", self.folder.join("config.json"))
+            .env("NODE_ADMIN_ADDR", self.admin.to_string())
             .env("TMPDIR", self.folder.join("tmp"))
             .env("RUST_LOG", level)
             .stdin(Stdio::null())
             .stdout(log.try_clone()?)
-            .stderr(log)
-            .spawn()?;
+            .stderr(log);
+        if let Some(held) = held {
+            sh.stdin(OwnedFd::from(held.try_clone()?)).env("NODE_LISTEN_FD", "5");
+        }
+        let process = sh.spawn()?;
         if let Ok(mut all) = PROCESSES.lock() {
             all.push(process.id());
         }
         self.process = Some(process);
-        let deadline = Instant::now() + Duration::from_secs(30);
-        while Instant::now() < deadline {
-            let up = format!("GET /up HTTP/1.1\r\nHost: {}\r\nConnection: close\r\n\r\n", self.listen);
-            if call(self.listen, &up, Duration::from_secs(1)).is_ok_and(|answer| answer.word(1) == "200") {
-                return Ok(());
-            }
-            std::thread::sleep(Duration::from_millis(50));
-        }
-        Err(std::io::Error::other("the dispatcher was not ready within 30 s"))
+        Ok(())
+    }
+
+    /// The process's id, while it runs.
+    pub fn process_id(&self) -> Option<u32> {
+        self.process.as_ref().map(Child::id)
     }
 
     /// Sends a signal to the process.
--- a/review/stand-ins-2/src/faktory.rs
+++ b/review/stand-ins-2/src/faktory.rs
@@ -19,9 +19,9 @@
         let mut connection = Connection { reader: BufReader::new(stream) };
         connection.read_line()?;
         let hello = match wid {
-            Some(wid) => format!(
-                "HELLO {{\"v\":2,\"wid\":\"{wid}\",\"hostname\":\"{wid}\",\"pid\":1,\"labels\":[]}}"
-            ),
+            Some(wid) => {
+                format!("HELLO {{\"v\":2,\"wid\":\"{wid}\",\"hostname\":\"{wid}\",\"pid\":1,\"labels\":[]}}")
+            }
             None => "HELLO {\"v\":2}".to_owned(),
         };
         let reply = connection.command(&hello)?;
@@ -36,8 +36,7 @@
         self.reader.get_ref().try_clone()
     }
 
-    /// Reads a line without its ending.
-    pub fn read_line(&mut self) -> io::Result<String> {
+    fn read_line(&mut self) -> io::Result<String> {
         let mut line = String::new();
         match self.reader.read_line(&mut line)? {
             0 => Err(io::ErrorKind::UnexpectedEof.into()),
--- a/review/stand-ins-2/src/http.rs
+++ b/review/stand-ins-2/src/http.rs
@@ -1,7 +1,7 @@
 //! HTTP/1.1 messages over plain TCP, as far as the stand-ins need them.
 
 use std::collections::HashMap;
-use std::io::{self, BufRead, BufReader, Read, Write};
+use std::io::{self, BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::time::Duration;
 
--- a/review/stand-ins-2/src/main.rs
+++ b/review/stand-ins-2/src/main.rs
@@ -35,16 +35,17 @@
         eprintln!("the case did not end within {} s", TIME_LIMIT.as_secs());
         std::process::exit(2);
     });
-    let played = Record::create(Path::new(folder)).map_err(|e| format!("record.txt: {e}")).and_then(|record| {
-        record.line(format!("case {name}, trouble {}", if trouble { "on" } else { "off" }));
-        let case = Case { record: record.clone(), trouble };
-        let verdict = case.play(name)?;
-        match &verdict {
-            Verdict::Held => record.line("HELD"),
-            Verdict::Broken(why) => record.line(format!("BROKEN: {why}")),
-        }
-        Ok(verdict)
-    });
+    let played =
+        Record::create(Path::new(folder)).map_err(|e| format!("record.txt: {e}")).and_then(|record| {
+            record.line(format!("case {name}, trouble {}", if trouble { "on" } else { "off" }));
+            let case = Case { record: record.clone(), trouble };
+            let verdict = case.play(name)?;
+            match &verdict {
+                Verdict::Held => record.line("HELD"),
+                Verdict::Broken(why) => record.line(format!("BROKEN: {why}")),
+            }
+            Ok(verdict)
+        });
     match played {
         Ok(Verdict::Held) => ExitCode::SUCCESS,
         Ok(Verdict::Broken(_)) => ExitCode::from(1),
--- a/review/stand-ins-2/src/record.rs
+++ b/review/stand-ins-2/src/record.rs
@@ -4,7 +4,7 @@
 use std::io::Write;
 use std::path::Path;
 use std::sync::{Arc, Mutex};
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 /// Writes `record.txt`.
 #[derive(Clone)]
@@ -27,9 +27,4 @@
         let mut file = self.file.lock().expect("no writer panics");
         let _ = file.write_all(line.as_bytes());
     }
-
-    /// Time since the record began.
-    pub fn elapsed(&self) -> Duration {
-        self.started.elapsed()
-    }
 }
--- a/review/stand-ins-2/src/runner.rs
+++ b/review/stand-ins-2/src/runner.rs
@@ -5,7 +5,7 @@
 use crate::http::{Message, call, read_message, respond};
 use crate::record::Record;
 use crate::text::work_ms;
-use std::collections::{HashMap, HashSet, VecDeque};
+use std::collections::{HashMap, VecDeque};
 use std::io::BufReader;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Mutex};
@@ -55,7 +55,6 @@
 struct Work {
     running: usize,
     queue: VecDeque<Queued>,
-    held: HashSet<String>,
 }
 
 /// A runner.
@@ -72,15 +71,15 @@
 }
 
 impl Runner {
-    /// A runner that tells this dispatcher of its jobs. Its listener is bound but not served yet.
-    pub fn bind(
+    /// Starts a runner that tells this dispatcher of its jobs.
+    pub fn start(
         name: &str,
         hall: &Hall,
         slots: usize,
         dispatcher: SocketAddr,
         effects: &Arc<Mutex<Vec<Effect>>>,
         record: &Record,
-    ) -> std::io::Result<(Runner, TcpListener)> {
+    ) -> std::io::Result<Runner> {
         let listener = TcpListener::bind("127.0.0.1:0")?;
         let runner = Runner {
             name: name.to_owned(),
@@ -92,18 +91,14 @@
             effects: effects.clone(),
             record: record.clone(),
         };
-        Ok((runner, listener))
-    }
-
-    /// Serves its listener on threads of its own.
-    pub fn serve(&self, listener: TcpListener) {
-        let runner = self.clone();
+        let server = runner.clone();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
-                let runner = runner.clone();
-                thread::spawn(move || runner.serve_connection(stream));
+                let server = server.clone();
+                thread::spawn(move || server.serve_connection(stream));
             }
         });
+        Ok(runner)
     }
 
     fn serve_connection(&self, stream: TcpStream) -> std::io::Result<()> {
@@ -156,7 +151,6 @@
         self.record.line(format!("runner {name} takes request {id} of key {key}"));
         let work = Duration::from_millis(work_ms(&request.body));
         let mut all = self.work.lock().expect("no holder panics");
-        all.held.insert(id.clone());
         all.queue.push_back(Queued { id, key, work });
         drop(all);
         self.start_next();
@@ -190,8 +184,7 @@
         let Queued { id, key, work } = job;
         let (name, hall) = (&self.name, &self.hall.name);
         self.record.line(format!("runner {name} of {hall} RUNS request {id} of key {key}"));
-        let effect =
-            Effect { key: key.clone(), hall: hall.clone(), runner: name.clone(), id: id.clone() };
+        let effect = Effect { key: key.clone(), hall: hall.clone(), runner: name.clone(), id: id.clone() };
         self.effects.lock().expect("no holder panics").push(effect);
         self.tell(id, "started", None);
         thread::sleep(*work);
