--- a/review/stand-ins-2/src/cases/foreign_id.rs
+++ b/review/stand-ins-2/src/cases/foreign_id.rs
@@ -17,7 +17,7 @@
     dispatcher.configure(&Settings::default()).map_err(text)?;
     let faktory = free_address();
     let keys = "[keys]\nentries = 50000\nmemory_mb = 16\n";
-    dispatcher.start(&format!("{keys}{}", faktory_section(faktory))).map_err(text)?;
+    dispatcher.start(Some(&format!("{keys}{}", faktory_section(faktory)))).map_err(text)?;
     let mut usual = Vec::new();
     let mut bad = Vec::new();
     for number in 0..JOBS {
--- a/review/stand-ins-2/src/cases/late_fetch.rs
+++ b/review/stand-ins-2/src/cases/late_fetch.rs
@@ -35,7 +35,7 @@
     let mut dispatcher = Dispatcher::new("n0", free_address(), discovery.address).map_err(text)?;
     let window_ms = WINDOW.as_millis() as u64;
     dispatcher.configure(&Settings { window_ms, ..Settings::default() }).map_err(text)?;
-    dispatcher.start(&faktory_section(faktory)).map_err(text)?;
+    dispatcher.start(Some(&faktory_section(faktory))).map_err(text)?;
     let hall = Hall::default();
     let mut sockets = HashMap::new();
     for wid in MEMBERS {
--- a/review/stand-ins-2/src/cases/mod.rs
+++ b/review/stand-ins-2/src/cases/mod.rs
@@ -1,8 +1,9 @@
 //! The cases, and what they share.
 
 mod foreign_id;
+mod header_memory;
 mod late_fetch;
-mod new_settings;
+mod memory;
 mod upgrade_id;
 mod upgrade_memory;
 
@@ -36,8 +37,8 @@
     pub fn play(&self, name: &str) -> Played {
         match name {
             "foreign-id" => foreign_id::play(self),
+            "header-memory" => header_memory::play(self),
             "late-fetch" => late_fetch::play(self),
-            "new-settings" => new_settings::play(self),
             "upgrade-id" => upgrade_id::play(self),
             "upgrade-memory" => upgrade_memory::play(self),
             _ => Err(format!("no case {name}")),
--- a/review/stand-ins-2/src/dispatcher.rs
+++ b/review/stand-ins-2/src/dispatcher.rs
@@ -13,8 +13,6 @@
 /// What the dispatchers of a case are told, beside their addresses.
 #[derive(Clone)]
 pub struct Settings {
-    /// The objective of the class `wave-release`, in milliseconds.
-    pub wave_objective_ms: u64,
     /// The longest deadline, that of the keyed classes, in milliseconds.
     pub deadline_ms: u64,
     /// The window for repeats, in milliseconds.
@@ -25,7 +23,7 @@
 
 impl Default for Settings {
     fn default() -> Settings {
-        Settings { wave_objective_ms: 400, deadline_ms: 6000, window_ms: 10_000, memory_mb: 192 }
+        Settings { deadline_ms: 6000, window_ms: 10_000, memory_mb: 192 }
     }
 }
 
@@ -44,7 +42,7 @@
         let services = [
             self.class("pick-route", 120, 2, "retryable", "all"),
             self.class("bin-check", 75, 1, "retryable", "all"),
-            self.class("wave-release", self.wave_objective_ms, 10, "dedup", "zone"),
+            self.class("wave-release", 400, 10, "dedup", "zone"),
             self.class("short-pick", 150, 3, "dedup", "all"),
         ]
         .join(",");
@@ -130,11 +128,16 @@
         fs::rename(self.folder.join("new.json"), self.folder.join("config.json"))
     }
 
-    /// Starts the process with an operator's file of this text, and waits until it answers `GET /up` with 200.
-    pub fn start(&mut self, operator: &str) -> std::io::Result<()> {
-        let file = self.folder.join("operator.toml");
-        fs::write(&file, operator)?;
-        self.spawn(&format!("{} run --config {}", self.run, file.display()), None)?;
+    /// Starts the process by `run`, with an operator's file of this text if there is one, and waits until it
+    /// answers `GET /up` with 200.
+    pub fn start(&mut self, operator: Option<&str>) -> std::io::Result<()> {
+        let mut command = self.run.clone();
+        if let Some(operator) = operator {
+            let file = self.folder.join("operator.toml");
+            fs::write(&file, operator)?;
+            command += &format!(" run --config {}", file.display());
+        }
+        self.spawn(&command, None)?;
         let deadline = Instant::now() + Duration::from_secs(30);
         while Instant::now() < deadline {
             let up = format!("GET /up HTTP/1.1\r\nHost: {}\r\nConnection: close\r\n\r\n", self.listen);
