--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -3,4 +3,4 @@
 cd "$(dirname "$0")/../.." || exit 2
 program=target/review-2/release/review-2
 [ -x "$program" ] || { echo "$program is missing: build with review/build-2.sh" >&2; exit 2; }
-exec "$program" new-settings review/10
+exec "$program" upgrade-memory review/10
