--- a/review/stand-ins-2/src/cases/header_memory.rs
+++ b/review/stand-ins-2/src/cases/header_memory.rs
@@ -1,6 +1,6 @@
 //! Bad clients send hundreds of requests at once, each with many short headers.
 
-use super::memory::{Counts, MEMORY_MB, RUNNERS, SLOTS, judge, report, start_clients, watch_memory};
+use super::memory::{Counts, MEMORY_MB, judge, report, start_clients, watch_memory};
 use super::{Case, Played, text, with_runners};
 use crate::dispatcher::Settings;
 use std::sync::Arc;
@@ -13,7 +13,7 @@
 
 /// Plays the case.
 pub fn play(case: &Case) -> Played {
-    let (mut dispatcher, _) = with_runners(case, &RUNNERS, SLOTS).map_err(text)?;
+    let (mut dispatcher, _) = with_runners(case).map_err(text)?;
     dispatcher.configure(&Settings { memory_mb: MEMORY_MB, ..Settings::default() }).map_err(text)?;
     dispatcher.start(None).map_err(text)?;
     let counts = Arc::new(Counts::default());
--- a/review/stand-ins-2/src/cases/upgrade_memory.rs
+++ b/review/stand-ins-2/src/cases/upgrade_memory.rs
@@ -1,7 +1,7 @@
 //! A dispatcher is replaced under load, on a listening socket that the platform holds, while bad clients send
 //! hundreds of requests at once.
 
-use super::memory::{Counts, MEMORY_MB, RUNNERS, SLOTS, judge, report, start_clients, watch_memory};
+use super::memory::{Counts, MEMORY_MB, judge, report, start_clients, watch_memory};
 use super::{Case, Played, text, with_runners_at};
 use crate::dispatcher::{Dispatcher, Settings};
 use std::net::TcpListener;
@@ -14,7 +14,7 @@
 pub fn play(case: &Case) -> Played {
     let held = TcpListener::bind("127.0.0.1:0").map_err(text)?;
     let listen = held.local_addr().map_err(text)?;
-    let (mut old, _) = with_runners_at(case, listen, &RUNNERS, SLOTS).map_err(text)?;
+    let (mut old, _) = with_runners_at(case, listen).map_err(text)?;
     old.configure(&Settings { memory_mb: MEMORY_MB, ..Settings::default() }).map_err(text)?;
     old.start_on(&held).map_err(text)?;
     let counts = Arc::new(Counts::default());
--- a/review/stand-ins-2/src/clients.rs
+++ b/review/stand-ins-2/src/clients.rs
@@ -12,7 +12,7 @@
     pub tenant: String,
     pub key: String,
     pub retried: bool,
-    /// How long the job runs, which the body tells the runner and `X-Cost` the dispatcher.
+    /// The job's work at the yardstick's speed, which the body tells the runner and `X-Cost` the dispatcher.
     pub work_ms: u64,
     pub timeout_ms: u64,
 }
--- a/review/stand-ins-2/src/discovery.rs
+++ b/review/stand-ins-2/src/discovery.rs
@@ -20,7 +20,7 @@
         // No two halls share a number of a cell.
         let cell = hall.bytes().last().unwrap_or(0);
         format!(
-            "{{\"host\":\"{name}\",\"dial\":\"{dial}\",\"site\":\"{hall}\",\"class\":\"k4-full\",\
+            "{{\"host\":\"{name}\",\"dial\":\"{dial}\",\"site\":\"{hall}\",\"class\":\"k4-slow\",\
              \"block\":{cell},\"health\":\"active\",\"share\":1.0,\"born_ms\":0}}"
         )
     }
--- a/review/stand-ins-2/src/dispatcher.rs
+++ b/review/stand-ins-2/src/dispatcher.rs
@@ -50,7 +50,7 @@
             .map(|(name, quota)| format!("{{\"name\":\"{name}\",\"quotaPerS\":{quota},\"share\":0.33}}"));
         format!(
             r#"{{"balancers":3,"me":0,"zone":"hall-a","failureDomains":["hall-a","hall-b","hall-c"],
-"kinds":["k4-full"],"stages":["pick-nodes"],"tier":0,"tick":4000000,"weights":"nominal","workload":"jobs",
+"kinds":["k4-full","k4-slow"],"stages":["pick-nodes"],"tier":0,"tick":4000000,"weights":"nominal","workload":"jobs",
 "worthBy":"work","overShareWorth":0.05,"membershipMode":"on_request","clientHabits":{{"marksRetry":true}},
 "services":[{services}],"projects":[{}],
 "extra":{{"classKind":[-1,-1,-1,-1],"classStretch":[2.0,2.0,1.75,1.75],"progress":0,"queueOrder":"fifo",
--- a/review/stand-ins-2/src/runner.rs
+++ b/review/stand-ins-2/src/runner.rs
@@ -4,7 +4,7 @@
 
 use crate::http::{Message, call, read_message, respond};
 use crate::record::Record;
-use crate::text::work_ms;
+use crate::text::running_time;
 use std::collections::{HashMap, VecDeque};
 use std::io::BufReader;
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -149,7 +149,7 @@
         }
         drop(seen);
         self.record.line(format!("runner {name} takes request {id} of key {key}"));
-        let work = Duration::from_millis(work_ms(&request.body));
+        let work = running_time(&request.body);
         let mut all = self.work.lock().expect("no holder panics");
         all.queue.push_back(Queued { id, key, work });
         drop(all);
