--- a/review/stand-ins-2/src/dispatcher.rs
+++ b/review/stand-ins-2/src/dispatcher.rs
@@ -8,7 +8,7 @@
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::Mutex;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime};
 
 /// What the dispatchers of a case are told, beside their addresses.
 #[derive(Clone)]
@@ -82,6 +82,11 @@
     }
 }
 
+/// A seed that no other start gets: the system's time in nanoseconds.
+fn new_seed() -> u64 {
+    SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).map_or(1, |now| now.as_nanos() as u64)
+}
+
 /// An address on loopback whose port is free now.
 pub fn free_address() -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").expect("loopback has free ports");
@@ -120,7 +125,7 @@
             self.listen,
             self.discovery,
             self.admin,
-            std::process::id() + self.starts * 7919 + 1,
+            new_seed(),
             settings.memory_mb,
             settings.json()
         );
