Parsed headers are dropped once read, and charged by their number until then

Cause: a parsed header takes 217 bytes of table for each bucket, whatever its length; 85 of them 28 kB for each connection. They were held with the request until its response, and the HTTP library's pool of heads kept the table (and, for a head that the parser rejects, the values with their buffer) for up to 128 requests. Only the bytes beyond 2 KiB were charged.

Change: the front reads what it needs and drops the headers before the body is read; until then they are charged by number. A rejected head's pooled headers are dropped when its connection ends. Responses of runners and of discovery drop their headers before their bodies are read.

--- a/node/src/net/discovery.rs
+++ b/node/src/net/discovery.rs
@@ -8,7 +8,7 @@
 use crate::memory::MemoryBudget;
 use crate::net::hosts::Hosts;
 use crate::net::json_stream::JsonStream;
-use crate::net::runners::{ConnectionPool, RunnerLink, read_body};
+use crate::net::runners::{ConnectionPool, RunnerLink, into_body, read_body};
 use crate::net::watch::{FailureKind, GraceTimeout, WatchError};
 use crate::runtime::{RunnerListSource, Runtime};
 use awc::Client;
@@ -146,16 +146,17 @@
                 self.report_failure("watch", WatchError { reason: reason.to_owned(), kind });
             }
         };
-        let mut response = timeout.wait(request, || report_late("no answer", FailureKind::Failed)).await??;
+        let response = timeout.wait(request, || report_late("no answer", FailureKind::Failed)).await??;
         if response.status() != StatusCode::OK {
             return Err(format!("answered {}", response.status()).into());
         }
+        let mut body = into_body(response);
         let stream = JsonStream::new(limits.max_watch_line_bytes);
         let (mut stream, mut any_list) = (stream.with_memory(&self.memory), false);
         loop {
             let next_chunk = async {
                 tokio::select! {
-                    chunk = response.next() => Ok(chunk),
+                    chunk = body.next() => Ok(chunk),
                     () = stream.evicted() => Err("an unfinished list makes room for another"),
                 }
             };
@@ -192,11 +193,11 @@
         let url = format!("http://{address}/discovery/hosts");
         let call = async {
             let request = self.client.get(url).address(address).no_decompress().force_close();
-            let mut response = request.send().await?;
+            let response = request.send().await?;
             if response.status() != StatusCode::OK {
                 return Err(format!("answered {}", response.status()).into());
             }
-            let body = read_body(&mut response, runtime.limits.max_watch_line_bytes, &self.memory).await;
+            let body = read_body(response, runtime.limits.max_watch_line_bytes, &self.memory).await;
             body.ok_or_else(|| WatchError::from("the list is too long, or can't be read"))
         };
         let body =
--- a/node/src/net/head_scanner.rs
+++ b/node/src/net/head_scanner.rs
@@ -4,6 +4,8 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub struct HeadScanner {
     bytes: usize,
+    /// Lines that are not empty and have ended: the first line and the headers.
+    lines: usize,
     /// Bytes of the current line.
     line_bytes: usize,
     /// A line that is not empty has been read, so that an empty one ends the head.
@@ -16,6 +18,11 @@
         self.bytes
     }
 
+    /// Returns the complete lines of the head read so far, the first line included.
+    pub fn lines(&self) -> usize {
+        self.lines
+    }
+
     /// Whether a line that is not empty has been read.
     pub fn begun(&self) -> bool {
         self.begun
@@ -27,7 +34,10 @@
             self.bytes += 1;
             match byte {
                 b'\n' if self.begun && self.line_bytes == 0 => return (index + 1, true),
-                b'\n' => self.line_bytes = 0,
+                b'\n' => {
+                    self.lines += usize::from(self.line_bytes > 0);
+                    self.line_bytes = 0;
+                }
                 b'\r' => {}
                 _ => (self.begun, self.line_bytes) = (true, self.line_bytes + 1),
             }
--- a/node/src/net/platform.rs
+++ b/node/src/net/platform.rs
@@ -7,6 +7,7 @@
 mod closing;
 mod connection;
 mod head;
+mod headers;
 mod input;
 pub mod lifecycle;
 mod linger;
--- a/node/src/net/platform/body.rs
+++ b/node/src/net/platform/body.rs
@@ -50,6 +50,22 @@
     }
 }
 
+/// The body of a request, which is read without the request's headers.
+pub(super) struct RequestBody {
+    payload: Payload,
+    /// The stated length, or 0.
+    declared_bytes: usize,
+}
+
+impl RequestBody {
+    /// Takes the body out of a request.
+    pub fn take(request: &mut Request) -> RequestBody {
+        let declared = header_text(request.headers(), &header::CONTENT_LENGTH).ok().flatten();
+        let declared_bytes = declared.and_then(|length| length.parse().ok()).unwrap_or(0);
+        RequestBody { payload: request.take_payload(), declared_bytes }
+    }
+}
+
 /// The next event of a body that is being read.
 enum BodyEvent {
     Chunk(Bytes),
@@ -60,19 +76,14 @@
 
 impl Front {
     /// Reads a request's body within its limits of size, time and memory.
-    pub(super) async fn read_body(
-        &self,
-        request: &mut Request,
-        connection: &Connection,
-    ) -> Result<Bytes, Reply> {
+    pub(super) async fn read_body(&self, body: RequestBody, connection: &Connection) -> Result<Bytes, Reply> {
         let limits = &self.runtime.limits;
-        let declared = header_text(request.headers(), &header::CONTENT_LENGTH).ok().flatten();
-        let length = declared.and_then(|length| length.parse::<usize>().ok()).unwrap_or(0);
-        if length > limits.max_body_bytes {
+        let RequestBody { payload, declared_bytes } = body;
+        if declared_bytes > limits.max_body_bytes {
             return Err(Reply::too_large());
         }
         let passing = Passing::of(connection.lifecycle.get().stage());
-        let reading = self.read_payload(request.take_payload(), passing, connection);
+        let reading = self.read_payload(payload, passing, connection);
         tokio::time::timeout(limits.body_timeout, reading).await.unwrap_or(Err(Reply::too_slow()))
     }
 
--- a/node/src/net/platform/head.rs
+++ b/node/src/net/platform/head.rs
@@ -1,7 +1,7 @@
 //! Reads a request's head: the platform's headers, and what is wrong with them.
 
 use crate::runtime::Runtime;
-use actix_http::header::{HeaderMap, HeaderName};
+use actix_http::header::{self, HeaderMap, HeaderName};
 use actix_http::{HttpMessage, Request};
 use sablerun as sr;
 
@@ -13,6 +13,7 @@
     pub tenant: Option<u32>,
     pub tenant_name: Option<String>,
     pub key: Option<String>,
+    pub content_type: Option<String>,
     pub timeout: sr::Span,
     pub slots: f64,
     pub memory: f64,
@@ -64,6 +65,7 @@
             tenant,
             tenant_name: tenant_name.map(str::to_owned),
             key: key.map(str::to_owned),
+            content_type: header_text(headers, &header::CONTENT_TYPE).ok().flatten().map(str::to_owned),
             timeout,
             slots,
             memory,
--- a/node/src/net/platform/lifecycle.rs
+++ b/node/src/net/platform/lifecycle.rs
@@ -143,6 +143,11 @@
         self.scanner.bytes()
     }
 
+    /// Returns the header lines of the current head that were passed to the parser so far.
+    pub fn header_lines(&self) -> usize {
+        self.scanner.lines().saturating_sub(1)
+    }
+
     /// Notes that input behind the current request was discarded, so that no later request can be read.
     pub fn discarded_input(&mut self) {
         self.last_request = true;
--- a/node/src/net/platform/requests.rs
+++ b/node/src/net/platform/requests.rs
@@ -7,9 +7,11 @@
 use crate::net::callbacks::{self, CallBack};
 use crate::net::peers::Forwarded;
 use crate::net::platform::Front;
+use crate::net::platform::body::RequestBody;
 use crate::net::platform::chunk_scanner::ChunkScanner;
 use crate::net::platform::connection::{Connection, Traffic};
 use crate::net::platform::head::{Head, header_text};
+use crate::net::platform::headers::release_headers;
 use crate::net::platform::lifecycle::BodyRest;
 use crate::net::platform::reply::Reply;
 use crate::net::sliced_body::SlicedBody;
@@ -67,27 +69,30 @@
             Ok(head) => head,
             Err(reason) => {
                 log::debug!("a request is rejected: {reason}");
-                self.count_rejected(request, AnswerKind::Errored);
+                let class_name = HeaderName::from_static("x-priority-class");
+                if let Ok(Some(class_name)) = header_text(request.headers(), &class_name) {
+                    self.count_rejected(class_name, AnswerKind::Errored);
+                }
                 return Reply::bad_request(reason);
             }
         };
-        let body = match self.read_body(request, connection).await {
+        let body = RequestBody::take(request);
+        release_headers(request);
+        let body = match self.read_body(body, connection).await {
             Ok(body) => body,
             Err(reply) => {
                 let refused = reply.status == StatusCode::SERVICE_UNAVAILABLE;
                 let kind = if refused { AnswerKind::Deferred } else { AnswerKind::Errored };
-                self.count_rejected(request, kind);
+                self.count_rejected(&head.class_name, kind);
                 return reply;
             }
         };
-        let content_type =
-            header_text(request.headers(), &header::CONTENT_TYPE).ok().flatten().map(str::to_owned);
         let target = request.uri().path_and_query().map_or("/api", |target| target.as_str());
         let job = Job {
             target: target.to_owned(),
             body,
             key: head.key,
-            content_type,
+            content_type: head.content_type,
             class: head.class_name,
             tenant: head.tenant_name,
             queue: None,
@@ -129,10 +134,8 @@
     /// Counts a job rejected before it reached the core for the class it names, even if the class is unknown:
     /// operators count a class that clients send before this process knows it. Jobs that reach the core are
     /// counted by the runtime.
-    fn count_rejected(&self, request: &Request, kind: AnswerKind) {
-        let class_name =
-            header_text(request.headers(), &HeaderName::from_static("x-priority-class")).ok().flatten();
-        if let Some(class) = class_name.and_then(|name| self.runtime.metrics.class_if_room(name)) {
+    fn count_rejected(&self, class_name: &str, kind: AnswerKind) {
+        if let Some(class) = self.runtime.metrics.class_if_room(class_name) {
             class.count(kind);
         }
     }
@@ -140,7 +143,9 @@
     /// Handles a runner's call-back, which is acknowledged at once whether or not its job is known. Only if
     /// the other process of an upgrade may have the job and does not answer is the runner asked to repeat it.
     async fn handle_call_back(&self, request: &mut Request, connection: &Connection) -> Reply {
-        let body = match self.read_body(request, connection).await {
+        let body = RequestBody::take(request);
+        release_headers(request);
+        let body = match self.read_body(body, connection).await {
             Ok(body) => body,
             Err(reply) => return reply,
         };
--- a/node/src/net/platform/stream.rs
+++ b/node/src/net/platform/stream.rs
@@ -3,6 +3,7 @@
 //! pass through unchanged and undelayed; the only ones made here are to a head that is too long or too slow.
 
 use crate::net::platform::connection::Connection;
+use crate::net::platform::headers::release_pooled_headers;
 use crate::net::platform::input::InputBuffer;
 use crate::net::platform::lifecycle::{CloseMode, HeadTooLong, Stage};
 use crate::net::platform::timer::{StreamTimer, Timeout};
@@ -127,6 +128,11 @@
     fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
         let this = self.get_mut();
         let connection = this.connection.clone();
+        // A request that has started has dropped its headers.
+        let lifecycle = connection.lifecycle.get();
+        if !matches!(lifecycle.stage(), Stage::New | Stage::ReadingHead | Stage::HeadRead) {
+            this.input.release_header_table(lifecycle);
+        }
         loop {
             if this.poll_body_wait(cx).is_pending() {
                 return this.pending(cx);
@@ -243,6 +249,10 @@
 
 impl Drop for GuardedStream {
     fn drop(&mut self) {
+        if self.connection.lifecycle.get().stage() == Stage::HeadRead {
+            // The parser rejected the head and dropped its request.
+            release_pooled_headers();
+        }
         self.connection.update(|lifecycle| lifecycle.close());
         *self.connection.closing_stream.borrow_mut() = self.stream.take();
     }
--- a/node/src/net/runners.rs
+++ b/node/src/net/runners.rs
@@ -10,7 +10,7 @@
 
 pub use pool::ConnectionPool;
 pub use report::{load_object, result_bytes};
-pub use response::read_body;
+pub use response::{into_body, read_body};
 
 use crate::core::{AttemptEnd, AttemptId, Input};
 use crate::runtime::{Job, Link, Runtime};
@@ -104,11 +104,12 @@
     async fn fetch_load(&self, address: SocketAddr) -> Option<Option<sr::Report>> {
         let url = format!("http://{address}/metrics/load");
         let request = self.client.get(url).address(address).no_decompress();
-        let mut response = request.send().await.ok()?;
+        let response = request.send().await.ok()?;
+        let status = response.status();
         let header_report = self.header_report(response.headers());
         let runtime = self.runtime.upgrade()?;
-        let body = read_body(&mut response, runtime.limits.max_body_bytes, &runtime.memory).await?;
-        if response.status() != StatusCode::OK {
+        let body = read_body(response, runtime.limits.max_body_bytes, &runtime.memory).await?;
+        if status != StatusCode::OK {
             return None;
         }
         log::trace!("probe at {address}: {}", String::from_utf8_lossy(&body));
@@ -140,8 +141,8 @@
                 // A request on a connection that the runner has just closed is lost: try another one.
                 for _ in 0..MAX_CANCEL_TRIES {
                     let request = this.client.delete(&url).address(address).no_decompress();
-                    if let Ok(mut response) = request.send().await {
-                        confirmed = drain(&mut response, runtime.limits.max_body_bytes).await;
+                    if let Ok(response) = request.send().await {
+                        confirmed = drain(response, runtime.limits.max_body_bytes).await;
                         break;
                     }
                 }
--- a/node/src/net/runners/attempt.rs
+++ b/node/src/net/runners/attempt.rs
@@ -53,7 +53,7 @@
         if let Some(content_type) = &job.content_type {
             request = request.insert_header(("Content-Type", content_type.as_str()));
         }
-        let mut response = match request.send_body(SlicedBody::new(job.body.clone())).await {
+        let response = match request.send_body(SlicedBody::new(job.body.clone())).await {
             Ok(response) => response,
             Err(e) => {
                 log::debug!("attempt {id} at {address}: {e}");
@@ -93,7 +93,7 @@
         if let Some(runtime) = self.runtime.upgrade() {
             let (timeout, max_bytes) = (runtime.limits.cancel_timeout, runtime.limits.max_body_bytes);
             actix_rt::spawn(async move {
-                let _ = tokio::time::timeout(timeout, drain(&mut response, max_bytes)).await;
+                let _ = tokio::time::timeout(timeout, drain(response, max_bytes)).await;
             });
         }
         result
--- a/node/src/net/runners/response.rs
+++ b/node/src/net/runners/response.rs
@@ -1,4 +1,5 @@
-//! Reads the bodies of runners' responses within their limits of size and memory.
+//! Reads the bodies of responses within their limits of size and memory. A response's headers take many times
+//! the bytes that were received: they are dropped before its body is read.
 
 use crate::memory::{MemoryBudget, ReceiveBuffer};
 use awc::ClientResponse;
@@ -6,13 +7,24 @@
 use bytes::Bytes;
 use futures_util::{Stream, StreamExt};
 
+/// Returns a response's body alone: its headers are dropped.
+pub fn into_body<S>(
+    mut response: ClientResponse<S>,
+) -> impl Stream<Item = Result<Bytes, PayloadError>> + Unpin + use<S>
+where
+    S: Stream<Item = Result<Bytes, PayloadError>> + Unpin,
+{
+    actix_http::HttpMessage::take_payload(&mut response)
+}
+
 /// Reads a body and drops it. Returns whether it ended within `max_bytes`.
-pub async fn drain<S>(response: &mut ClientResponse<S>, max_bytes: usize) -> bool
+pub async fn drain<S>(response: ClientResponse<S>, max_bytes: usize) -> bool
 where
     S: Stream<Item = Result<Bytes, PayloadError>> + Unpin,
 {
+    let mut body = into_body(response);
     let mut read_bytes = 0;
-    while let Some(chunk) = response.next().await {
+    while let Some(chunk) = body.next().await {
         let Ok(chunk) = chunk else { return false };
         read_bytes += chunk.len();
         if read_bytes > max_bytes {
@@ -24,16 +36,17 @@
 
 /// Reads a body; `None` if it is longer than `max_bytes`, can't be read, or there is no memory for it.
 pub async fn read_body<S>(
-    response: &mut ClientResponse<S>,
+    response: ClientResponse<S>,
     max_bytes: usize,
     memory: &MemoryBudget,
 ) -> Option<Bytes>
 where
     S: Stream<Item = Result<Bytes, PayloadError>> + Unpin,
 {
-    let mut body = ReceiveBuffer::new(memory);
-    while let Some(chunk) = response.next().await {
-        body.try_extend(&chunk.ok()?, max_bytes).ok()?;
+    let mut body = into_body(response);
+    let mut received = ReceiveBuffer::new(memory);
+    while let Some(chunk) = body.next().await {
+        received.try_extend(&chunk.ok()?, max_bytes).ok()?;
     }
-    Some(body.into_bytes())
+    Some(received.into_bytes())
 }
--- a/node/tests/memory.rs
+++ b/node/tests/memory.rs
@@ -9,12 +9,17 @@
 use std::net::{SocketAddr, TcpStream};
 use std::sync::Arc;
 use std::thread;
+use std::time::Duration;
 
 /// The smallest memory limit of the platform, in MB.
 const MEMORY_MB: u64 = 32;
 /// Below a third of the descriptors.
 const BAD_CLIENTS: usize = 200;
 const BODY_BYTES: usize = 60_000;
+/// The memory that a connection may take besides what is reserved for its message, in kB.
+const CONNECTION_KB: u64 = 32;
+/// Time for input that was sent to be read.
+const SETTLE_TIME: Duration = Duration::from_millis(300);
 
 struct Installation {
     _discovery: Discovery,
@@ -42,6 +47,22 @@
     line.trim().trim_end_matches(" kB").parse().unwrap()
 }
 
+/// Opens this many connections that send the text, and returns them with the growth of the peak of the process's
+/// resident memory by them, in kB.
+fn open_connections(program: &Program, count: usize, text: &str) -> (Vec<TcpStream>, u64) {
+    let before_kb = peak_kb(program);
+    let connections = (0..count).map(|_| {
+        let mut connection = TcpStream::connect(program.address).unwrap();
+        connection.write_all(text.replace("ID-OF-JOB", &new_id()).as_bytes()).unwrap();
+        connection
+    });
+    let connections = connections.collect();
+    // Answered behind all of them.
+    call(program.address, "GET /up HTTP/1.1", "");
+    thread::sleep(SETTLE_TIME);
+    (connections, peak_kb(program) - before_kb)
+}
+
 /// Lets hundreds of clients send the text at full speed and stay, and hands in usual jobs meanwhile. Returns the
 /// first bytes that each bad client got; empty if its connection was closed.
 fn play(program: &Program, address: SocketAddr, greeting: Option<&'static str>, text: String) -> Vec<String> {
@@ -140,6 +161,29 @@
     }
 }
 
+/// Guards against the crash by many short headers (review/7): parsed headers take several hundred bytes each,
+/// were not counted, and were held until the response, by pooled heads even longer.
+#[test]
+fn many_short_headers_take_no_more_than_a_connection_may() {
+    const CONNECTIONS: usize = 120;
+    let short: String = (0..85).map(|n| format!("h{n}: v\r\n")).collect();
+    let same: String = "h: v\r\n".repeat(85);
+    let open = head("Content-Length: 4").trim_end().to_owned() + "\r\n";
+    let call_back = "POST /v1/job-events HTTP/1.1\r\nHost: t\r\nContent-Length: 4\r\n";
+    for (what, text) in [
+        ("open jobs", format!("{open}{short}\r\nhang")),
+        ("open jobs, one name", format!("{open}{same}\r\nhang")),
+        ("bodies that stop", format!("{open}{short}\r\nhan")),
+        ("call-backs that stop", format!("{call_back}{short}\r\nhan")),
+        ("heads that the parser rejects", format!("POST /api HTTP/1.1\r\n{short}\r\n")),
+    ] {
+        let Installation { program, .. } = &start(None);
+        let (_connections, growth_kb) = open_connections(program, CONNECTIONS, &text);
+        let each_kb = growth_kb / CONNECTIONS as u64;
+        assert!(each_kb <= CONNECTION_KB, "{what}: {each_kb} kB for each connection");
+    }
+}
+
 /// Guards against the same crash by frames of Faktory peers, unfinished or behind a command.
 #[test]
 fn faktory_frames_do_not_exceed_the_memory_limit() {
