The processes of a replacement keep one limit of memory, descriptors and requests

Cause: Limits::new derives every bound from the whole memory and all descriptors in each process; nothing tells a process of the other one. The allocator also keeps what the old process has freed (its resident memory stayed at 18 MB until its end while its connections closed).

Change: each limit has 64 parts, each a byte of a file under $TMPDIR that a process locks (fcntl, open file description) while it needs the part. The kernel arbitrates and releases the locks of a process that ends, however it ends, so that the survivor has the whole again. While there are two, what the second needs by itself is left out, and an eighth is left to each. The old process evicts idle connections and returns freed memory (malloc_trim). Connections of both fronts and to runners, messages, lists, keys and open requests share this way; the file exists only where NODE_LISTEN_FD is given, elsewhere nothing changes. Rejected: parts that the processes tell each other over the admin socket (a stalled one would keep the other waiting), and counters in shared memory (a killed one would leave its own behind).

--- a/keys/src/store.rs
+++ b/keys/src/store.rs
@@ -127,6 +127,11 @@
         store
     }
 
+    /// Changes the most bytes that keys and results may take. Nothing is removed at once if there are more.
+    pub fn set_max_bytes(&mut self, max_bytes: usize) {
+        self.bounds.max_bytes = max_bytes;
+    }
+
     /// Adds a class; classes are numbered in the order in which they are added.
     pub fn add_class(&mut self, retention: Retention) {
         let queue = || LinkedHashMap::with_hasher(HashState::default());
--- a/lab/src/scale/hollow.rs
+++ b/lab/src/scale/hollow.rs
@@ -173,7 +173,7 @@
         let discovery_by_agent = settings.0.discovery == sr::Discovery::Agent;
         let machine_limits = &parsed.limits;
         let limits = Limits::new(machine_limits.sockets, machine_limits.memory_mb, &parsed.settings, false);
-        let runtime = assembly::build_runtime(&parsed, settings, Clock::new(), limits, None)?;
+        let runtime = assembly::build_runtime(&parsed, settings, Clock::new(), limits, None, None)?;
         runtime.set_observer(Rc::new(observer));
         let (runners, runner_list) = assembly::connect(&runtime);
         if let Some(section) = &shared.operator.digest {
--- a/node/src/assembly.rs
+++ b/node/src/assembly.rs
@@ -9,13 +9,16 @@
 use crate::net::platform::Front;
 use crate::net::runners::RunnerLink;
 use crate::runtime::{Clock, Runtime};
+use crate::shared::SharedFile;
 use sablerun as sr;
 use sablerun_keys as keys;
 use sablerun_settings::Tables;
 use std::rc::Rc;
+use std::sync::Arc;
 use tokio::net::TcpListener;
 
-/// Builds the runtime and its core from these settings, with a key store if keys are enabled.
+/// Builds the runtime and its core from these settings, with a key store if keys are enabled. Its limits
+/// are those of all processes that use the shared file, if there is one.
 ///
 /// # Errors
 ///
@@ -26,6 +29,7 @@
     clock: Clock,
     limits: Limits,
     store: Option<keys::Store>,
+    shared: Option<Arc<SharedFile>>,
 ) -> Result<Rc<Runtime>, String> {
     let seed = config.seed()?;
     let initial_settings = settings.clone();
@@ -34,7 +38,7 @@
     if let Some(store) = store {
         core.set_key_store(store);
     }
-    let runtime = Runtime::new(core, clock, limits);
+    let runtime = Runtime::with_shared(core, clock, limits, shared);
     runtime.update_longest_deadline(&initial_settings);
     runtime.register_classes();
     Ok(runtime)
--- a/node/src/core.rs
+++ b/node/src/core.rs
@@ -23,7 +23,8 @@
 mod timers;
 
 pub use input::{
-    Answer, Arrival, AttemptEnd, AttemptId, Effect, IdempotencyKey, Input, ListedRunner, Source, Ticket,
+    Answer, Arrival, AttemptEnd, AttemptId, Effect, IdempotencyKey, Input, ListedRunner, PeerConflict,
+    Source, Ticket,
 };
 pub use reconfigure::Reconfiguration;
 use timers::Timer;
@@ -196,6 +197,12 @@
     pub fn step(&mut self, now: sr::Time, input: Input<J>) -> Vec<Effect<J>> {
         match input {
             Input::Arrived(arrival) => self.handle_arrival(now, arrival),
+            Input::RuledOutByPeer(ticket, conflict) => self.handle_peer_conflict(ticket, conflict),
+            Input::KeyMemory(bytes) => {
+                if let Some(store) = &mut self.keys {
+                    store.set_max_bytes(bytes);
+                }
+            }
             Input::ClientGone(ticket) => self.handle_client_gone(now, ticket),
             Input::Started { id, from } => self.handle_update(now, &id, &from, sr::AttemptUpdate::Started),
             Input::Progress { id, from, share } => {
--- a/node/src/core/input.rs
+++ b/node/src/core/input.rs
@@ -96,10 +96,25 @@
     }
 }
 
+/// Why another process of this dispatcher rules a request out.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PeerConflict {
+    /// All processes together have as many open requests as allowed.
+    NoRoom,
+    /// The other process has a request of the same id.
+    IdTaken,
+    /// The other process has a request of the same id under the same key, which this one repeats.
+    IdTakenBySameKey,
+}
+
 /// An event for the core.
 #[derive(Clone, Debug)]
 pub enum Input<J> {
     Arrived(Arrival<J>),
+    /// A request arrived that another process of this dispatcher rules out.
+    RuledOutByPeer(Ticket, PeerConflict),
+    /// The key store may take this many bytes from now on.
+    KeyMemory(usize),
     /// The client disconnected before its answer.
     ClientGone(Ticket),
     /// The runner `from` reports that the job of request `id` has started.
@@ -162,7 +177,8 @@
     /// The input's kind, for metrics by kind.
     pub fn name(&self) -> &'static str {
         match self {
-            Input::Arrived(_) => "arrived",
+            Input::Arrived(_) | Input::RuledOutByPeer(..) => "arrived",
+            Input::KeyMemory(_) => "key_memory",
             Input::ClientGone(_) => "client_gone",
             Input::Started { .. } => "started",
             Input::Progress { .. } => "progress",
--- a/node/src/core/requests.rs
+++ b/node/src/core/requests.rs
@@ -2,11 +2,14 @@
 //! deadline; a request is dropped once it is answered and has no live attempt.
 
 use super::timers::Timer;
-use super::{Answer, Arrival, Core, Effect, PendingKey, Request, Ticket};
+use super::{Answer, Arrival, Core, Effect, PeerConflict, PendingKey, Request, Ticket};
 use bytes::Bytes;
 use sablerun as sr;
 use sablerun_keys as keys;
 
+/// The reason for failing a request whose id another one has.
+const ID_IN_USE: &str = "a request with this id is under way";
+
 impl<J: Clone> Core<J> {
     /// Admits a new request. It is refused if too many are open, and fails if its id is in use, unless by an
     /// unanswered request under the same key. If it has a key, the key store decides whether it starts, joins
@@ -26,7 +29,7 @@
             _ => false,
         };
         if duplicate.is_some_and(|other| !same_key(other)) {
-            return self.answer_ticket(ticket, Answer::Failed("a request with this id is under way"));
+            return self.answer_ticket(ticket, Answer::Failed(ID_IN_USE));
         }
         // No request outlives the program.
         let deadline = self.stop_at.map_or(deadline, |stop| deadline.min(stop));
@@ -82,6 +85,17 @@
         self.notify(now, sr::Event::Arrival(arrival));
     }
 
+    /// Answers a request that another process of this dispatcher rules out. Nothing of it has run.
+    pub(super) fn handle_peer_conflict(&mut self, ticket: Ticket, conflict: PeerConflict) {
+        self.tally.taken += 1;
+        let answer = match conflict {
+            // A repeat may come again when the first has ended.
+            PeerConflict::NoRoom | PeerConflict::IdTakenBySameKey => Answer::Refused(self.hold_off()),
+            PeerConflict::IdTaken => Answer::Failed(ID_IN_USE),
+        };
+        self.answer_ticket(ticket, answer);
+    }
+
     /// The retry delay for requests that are refused before the balancer sees them.
     fn hold_off(&self) -> sr::Span {
         let shortest = self.settings.classes.iter().map(|class| class.objective).min();
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -25,4 +25,5 @@
 pub mod operator;
 pub mod publisher;
 pub mod runtime;
+pub mod shared;
 pub mod snapshots;
--- a/node/src/limits.rs
+++ b/node/src/limits.rs
@@ -13,6 +13,11 @@
 /// The same for a connection to a runner.
 const RUNNER_CONNECTION_BYTES: usize = 24 * 1024;
 
+/// Memory that a process takes by itself, without connections and messages, in bytes.
+const PROCESS_BYTES: usize = 4 * 1024 * 1024;
+/// Descriptors for the standard streams, the async runtime, the listeners, the watch and a call to discovery.
+const PROCESS_DESCRIPTORS: usize = 40;
+
 /// Sizes, counts and times that the program observes.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Limits {
@@ -28,6 +33,13 @@
     pub evict_from_memory_after: Duration,
     /// Time to wait for memory before a message is refused.
     pub memory_timeout: Duration,
+    /// The share of the limits of connections and memory that a second process needs by itself while it replaces
+    /// this one, from 0 to 1.
+    pub second_process_share: f64,
+    /// Interval at which a process looks for another one with which it shares the limits.
+    pub peer_check_interval: Duration,
+    /// Interval at which a process returns freed memory to the system while there is another one.
+    pub memory_release_interval: Duration,
     /// Most requests open at once.
     pub max_open: usize,
     /// Most connections from the platform's clients and runners.
@@ -124,9 +136,7 @@
     /// Computes the limits from the machine's number of descriptors, its memory and the settings.
     /// `two_fronts`: the Faktory front is on too.
     pub fn new(sockets: usize, memory_mb: usize, env: &Env, two_fronts: bool) -> Limits {
-        // 40 are for the standard streams, the async runtime, the listeners, the watch and a call to
-        // discovery.
-        let free = sockets.saturating_sub(40).max(16);
+        let free = sockets.saturating_sub(PROCESS_DESCRIPTORS).max(16);
         let idle = Duration::from_nanos(env.limits.conn_idle.unwrap_or(10_000_000_000));
         let max_body_bytes = 64 * 1024;
         let accepted = free * 3 / 5;
@@ -141,6 +151,9 @@
             true => (accepted / 2).min(connection_memory_bytes / FAKTORY_CONNECTION_BYTES),
             false => 0,
         };
+        // Connections of both kinds, messages and lists have three quarters of the memory.
+        let process_memory_share = PROCESS_BYTES as f64 / (memory_bytes as f64 * 0.75);
+        let process_descriptor_share = PROCESS_DESCRIPTORS as f64 / free as f64;
         let fits = memory_bytes / 4 / max_body_bytes;
         let configured =
             env.limits.max_open.map_or(usize::MAX, |most| usize::try_from(most).unwrap_or(usize::MAX));
@@ -151,6 +164,9 @@
             list_memory_bytes: memory_bytes / 8,
             evict_from_memory_after: Duration::from_millis(100),
             memory_timeout: Duration::from_millis(800),
+            second_process_share: process_memory_share.max(process_descriptor_share).min(1.0),
+            memory_release_interval: Duration::from_millis(100),
+            peer_check_interval: Duration::from_millis(50),
             max_open: fits.min(configured).max(1),
             max_client_connections,
             max_faktory_connections,
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -9,16 +9,20 @@
 use sablerun_node::config::{read_config, reload};
 use sablerun_node::core::Input;
 use sablerun_node::limits::Limits;
+use sablerun_node::memory::release_freed_memory;
 use sablerun_node::net::faktory::Faktory;
-use sablerun_node::net::platform;
 use sablerun_node::net::platform::shutdown::Shutdown;
+use sablerun_node::net::platform::{self, Front};
 use sablerun_node::operator::Operator;
-use sablerun_node::runtime::Clock;
+use sablerun_node::runtime::{Clock, Runtime};
+use sablerun_node::shared::SharedFile;
 use sablerun_node::{assembly, cli, disabled_file, jobs_cli, logging, net, publisher, snapshots};
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::rc::Rc;
-use std::time::Duration;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
 use tokio::signal::unix::{SignalKind, signal};
 
 fn main() -> ExitCode {
@@ -69,6 +73,36 @@
     cli::check(operator.as_ref().map(|(path, operator)| (*path, operator)), args.json)
 }
 
+/// Opens the file that the processes of this dispatcher share. Without it, each keeps to the whole limits.
+fn open_shared_file(listen: SocketAddr) -> Option<Arc<SharedFile>> {
+    let folder = std::env::temp_dir();
+    match SharedFile::open(&folder, listen) {
+        Ok(file) => Some(Arc::new(file)),
+        Err(e) => {
+            log::warn!("limits are not shared with another process: {}: {e}", folder.display());
+            None
+        }
+    }
+}
+
+/// Looks regularly for another process of this dispatcher, and makes room for it; never ends.
+async fn share_with_peers(runtime: Rc<Runtime>, front: Rc<Front>) {
+    let mut last_release = Instant::now();
+    loop {
+        tokio::time::sleep(runtime.limits.peer_check_interval).await;
+        let has_peers = runtime.resources.refresh();
+        runtime.share_key_memory();
+        if !has_peers {
+            continue;
+        }
+        front.make_room();
+        if last_release.elapsed() > runtime.limits.memory_release_interval {
+            release_freed_memory();
+            last_release = Instant::now();
+        }
+    }
+}
+
 async fn run(operator: Option<PathBuf>) -> Result<(), String> {
     // Before anything else, so that a SIGHUP no longer ends the program.
     let mut hang_up = signal(SignalKind::hangup()).map_err(|e| format!("SIGHUP: {e}"))?;
@@ -97,7 +131,10 @@
     let store = store.map(|store| {
         snapshots::restore(store, &doubt_periods, &tables, locked_snapshot.as_ref(), clock.now())
     });
-    let runtime = assembly::build_runtime(&config, (settings, tables), clock, limits, store)?;
+    let inherited = std::env::var("NODE_LISTEN_FD").ok();
+    // Only a process on a socket that the platform holds can be one of two.
+    let shared = inherited.as_ref().and_then(|_| open_shared_file(config.listen));
+    let runtime = assembly::build_runtime(&config, (settings, tables), clock, limits, store, shared)?;
     if let (Some(file), Some(snapshot)) = (&locked_snapshot, snapshots::capture(&runtime, false)) {
         // Before the first request: otherwise, after a kill, the successor would trust the snapshot of the
         // previous orderly shutdown as complete.
@@ -127,7 +164,6 @@
     let faktory = faktory.transpose().map_err(|e: String| format!("--config: faktory: {e}"))?;
     // Socket activation: if the platform holds the clients' socket, a process that replaces another one takes
     // it over, and no connection is refused in between.
-    let inherited = std::env::var("NODE_LISTEN_FD").ok();
     let listener = match &inherited {
         Some(fd) => net::socket_activation::listener_from_fd(fd)?,
         None => {
@@ -141,6 +177,10 @@
     let bound_address = listener.local_addr().ok();
     let front = assembly::start(&runtime, &discovery, known, listener);
     let listen = bound_address.unwrap_or(config.listen);
+    if inherited.is_some() {
+        runtime.share_key_memory();
+        actix_rt::spawn(share_with_peers(runtime.clone(), front.clone()));
+    }
     if let Some(listener) = admin_listener {
         let address = listener.local_addr().map_err(|e| format!("admin_addr: {e}"))?;
         let (sender, requests) = tokio::sync::mpsc::unbounded_channel();
--- a/node/src/memory.rs
+++ b/node/src/memory.rs
@@ -7,10 +7,13 @@
 
 mod buffer;
 mod reservation;
+mod trim;
 
 pub use buffer::ReceiveBuffer;
 pub use reservation::Reservation;
+pub use trim::release_freed_memory;
 
+use crate::shared::Quota;
 use bytes::Bytes;
 use reservation::Eviction;
 use std::collections::{BTreeMap, BTreeSet};
@@ -47,7 +50,7 @@
 }
 
 struct Shared {
-    limit_bytes: usize,
+    limit: Arc<Quota>,
     /// Time without progress after which a message may be evicted.
     stall_timeout: Duration,
     state: Mutex<State>,
@@ -63,8 +66,13 @@
     /// Creates a budget of this many bytes. A message that makes no progress for `stall_timeout` may be evicted
     /// when the budget is used up.
     pub fn new(limit_bytes: usize, stall_timeout: Duration) -> MemoryBudget {
+        MemoryBudget::with_quota(Arc::new(Quota::alone(limit_bytes)), stall_timeout)
+    }
+
+    /// Creates a budget within a limit that other processes may share.
+    pub fn with_quota(limit: Arc<Quota>, stall_timeout: Duration) -> MemoryBudget {
         let (state, changed) = (Mutex::default(), Notify::new());
-        MemoryBudget(Arc::new(Shared { limit_bytes, stall_timeout, state, changed }))
+        MemoryBudget(Arc::new(Shared { limit, stall_timeout, state, changed }))
     }
 
     /// Returns the reserved bytes.
--- a/node/src/memory/reservation.rs
+++ b/node/src/memory/reservation.rs
@@ -57,9 +57,9 @@
             return Err(OutOfMemory);
         }
         let total_bytes = self.budget.used_bytes() - self.bytes + bytes;
-        let limit_bytes = self.budget.0.limit_bytes;
-        if bytes > self.bytes && total_bytes > limit_bytes {
-            self.budget.evict_stalled(total_bytes - limit_bytes);
+        let limit = &self.budget.0.limit;
+        if bytes > self.bytes && !limit.ensure(total_bytes) {
+            self.budget.evict_stalled(total_bytes.saturating_sub(limit.available()).max(1));
             return Err(OutOfMemory);
         }
         self.set(bytes);
@@ -73,7 +73,7 @@
     /// More than half of the budget would be in use.
     pub fn try_resize_low_priority(&mut self, bytes: usize) -> Result<(), OutOfMemory> {
         let others = self.budget.used_bytes() - self.bytes;
-        if bytes > self.bytes && others + bytes > self.budget.0.limit_bytes / 2 {
+        if bytes > self.bytes && others + bytes > self.budget.0.limit.available() / 2 {
             return Err(OutOfMemory);
         }
         self.try_resize(bytes)
@@ -128,8 +128,10 @@
                 self.holder = Some(number);
             }
         }
+        let used_bytes = state.used_bytes;
         drop(state);
         if released {
+            self.budget.0.limit.release_beyond(used_bytes);
             self.budget.0.changed.notify_waiters();
         }
     }
@@ -175,7 +177,9 @@
         let mut state = self.budget.state();
         state.used_bytes -= self.bytes;
         state.holders.remove(&number);
+        let used_bytes = state.used_bytes;
         drop(state);
+        self.budget.0.limit.release_beyond(used_bytes);
         self.budget.0.changed.notify_waiters();
     }
 }
--- a/node/src/net/digest.rs
+++ b/node/src/net/digest.rs
@@ -6,6 +6,7 @@
 use crate::net::runners::ConnectionPool;
 use crate::operator;
 use crate::runtime::{DigestSource, Runtime};
+use crate::shared::Quota;
 use awc::Client;
 use awc::http::StatusCode;
 use futures_util::StreamExt;
@@ -13,6 +14,7 @@
 use sablerun_digest::FrameDecoder;
 use std::net::SocketAddr;
 use std::rc::{Rc, Weak};
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::Notify;
 use tokio::time::timeout;
@@ -33,7 +35,10 @@
 impl DigestSubscriber {
     /// Subscribes to the digest that the operator's file names, until the program ends.
     pub fn start(runtime: &Rc<Runtime>, section: &operator::Digest) {
-        let pool = ConnectionPool::new(&runtime.limits);
+        let pool = ConnectionPool::new(
+            &runtime.limits,
+            Arc::new(Quota::alone(runtime.limits.max_runner_connections)),
+        );
         let subscriber = Rc::new(DigestSubscriber {
             runtime: Rc::downgrade(runtime),
             client: pool.client(&runtime.limits),
--- a/node/src/net/discovery.rs
+++ b/node/src/net/discovery.rs
@@ -11,6 +11,7 @@
 use crate::net::runners::{ConnectionPool, RunnerLink, into_body, read_body};
 use crate::net::watch::{FailureKind, GraceTimeout, WatchError};
 use crate::runtime::{RunnerListSource, Runtime};
+use crate::shared::Quota;
 use awc::Client;
 use awc::http::StatusCode;
 use futures_util::StreamExt;
@@ -18,6 +19,7 @@
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::{Rc, Weak};
+use std::sync::Arc;
 use tokio::task::AbortHandle;
 
 /// The client of discovery.
@@ -49,12 +51,18 @@
 
 impl DiscoveryClient {
     pub fn new(runtime: &Rc<Runtime>, runners: &Rc<RunnerLink>) -> Rc<DiscoveryClient> {
-        let pool = ConnectionPool::new(&runtime.limits);
+        let pool = ConnectionPool::new(
+            &runtime.limits,
+            Arc::new(Quota::alone(runtime.limits.max_runner_connections)),
+        );
         Rc::new_cyclic(|this| DiscoveryClient {
             runtime: Rc::downgrade(runtime),
             runners: runners.clone(),
             client: pool.client(&runtime.limits),
-            memory: MemoryBudget::new(runtime.limits.list_memory_bytes, runtime.limits.evict_silent_after),
+            memory: MemoryBudget::with_quota(
+                runtime.resources.list_memory.clone(),
+                runtime.limits.evict_silent_after,
+            ),
             version: Cell::new(0),
             address: Cell::new(None),
             address_changes: Cell::new(0),
--- a/node/src/net/faktory.rs
+++ b/node/src/net/faktory.rs
@@ -343,8 +343,8 @@
         let identities = config.tls.clone().map(Identities::load).transpose()?;
         Ok(Rc::new(Faktory {
             runtime: runtime.clone(),
-            memory: MemoryBudget::new(
-                runtime.limits.faktory_memory_bytes,
+            memory: MemoryBudget::with_quota(
+                runtime.resources.faktory_memory.clone(),
                 runtime.limits.evict_from_memory_after,
             ),
             config,
@@ -367,8 +367,11 @@
             Err(e) => return log::error!("tls: {e}"),
         };
         loop {
-            while self.connections.get() >= self.runtime.limits.max_faktory_connections {
-                self.connection_closed.notified().await;
+            let limit = &self.runtime.resources.faktory_connections;
+            while !limit.ensure(self.connections.get() + 1) {
+                // The other process of a replacement may give a place back at any time.
+                let closed = self.connection_closed.notified();
+                let _ = tokio::time::timeout(self.runtime.limits.peer_check_interval, closed).await;
             }
             let (stream, from) = match listener.accept().await {
                 Ok(accepted) => accepted,
@@ -1135,6 +1138,7 @@
 impl Drop for ConnectionCount {
     fn drop(&mut self) {
         self.0.connections.set(self.0.connections.get() - 1);
+        self.0.runtime.resources.faktory_connections.release_beyond(self.0.connections.get());
         self.0.connection_closed.notify_one();
     }
 }
--- a/node/src/net/platform.rs
+++ b/node/src/net/platform.rs
@@ -82,6 +82,7 @@
     /// Accepts connections until [`Front::stop_accepting`] or the final accept of a shutdown.
     pub async fn serve(self: Rc<Self>, listener: TcpListener) {
         let limits = &self.runtime.limits;
+        let limit = &self.runtime.resources.client_connections;
         let front = self.clone();
         let service = HttpService::build()
             // `GuardedStream` enforces the timeouts of idle connections and of every head. actix-http's own
@@ -123,7 +124,7 @@
         loop {
             self.make_room();
             // At the limit, new connections wait in the listen queue until one closes or is evicted.
-            while self.connections.borrow().len() >= limits.max_client_connections {
+            while !limit.ensure(self.connections() + 1) {
                 let _ = tokio::time::timeout(limits.accept_pause, self.connection_closed.notified()).await;
                 self.make_room();
             }
@@ -191,6 +192,8 @@
 impl Drop for TableEntry {
     fn drop(&mut self) {
         self.front.connections.borrow_mut().remove(&self.number);
+        let limit = &self.front.runtime.resources.client_connections;
+        limit.release_beyond(self.front.connections());
         self.front.connection_closed.notify_one();
     }
 }
--- a/node/src/net/platform/closing.rs
+++ b/node/src/net/platform/closing.rs
@@ -12,11 +12,11 @@
 
 impl Front {
     /// Evicts connections ahead of need where any can be evicted, because a connection takes time to close.
-    pub(super) fn make_room(&self) {
+    pub fn make_room(&self) {
         let limits = &self.runtime.limits;
+        let most = self.runtime.resources.client_connections.available();
         let connections = self.connections.borrow();
-        let wanted = (connections.len() + limits.max_client_connections / 16 + 1)
-            .saturating_sub(limits.max_client_connections);
+        let wanted = (connections.len() + most / 16 + 1).saturating_sub(most);
         let closing = connections.values().filter(|(c, _)| c.is_closing_or_evicted()).count();
         if wanted > closing {
             let mut evictable: Vec<_> =
@@ -27,7 +27,7 @@
                 .take(wanted - closing)
                 .for_each(|(_, connection)| connection.request_close(CloseMode::Immediate));
         }
-        if connections.len() >= limits.max_client_connections {
+        if connections.len() >= most {
             // The last response was written a while ago and the client has not closed its side.
             let lingering = |(c, _): &&(Rc<Connection>, AbortHandle)| {
                 c.is_closing() && c.last_activity.get().elapsed() > limits.flush_timeout
@@ -44,7 +44,7 @@
     pub(super) fn near_limit(&self) -> bool {
         let used = |(c, _): &&(Rc<Connection>, AbortHandle)| c.traffic.get() != Traffic::Nothing;
         let used = self.connections.borrow().values().filter(used).count();
-        used * 10 >= self.runtime.limits.max_client_connections * 9
+        used * 10 >= self.runtime.resources.client_connections.available() * 9
     }
 
     /// Shuts down gracefully. On a shared socket the successor accepts new connections at once, and
--- a/node/src/net/runners.rs
+++ b/node/src/net/runners.rs
@@ -61,14 +61,14 @@
 
 impl RunnerLink {
     pub fn new(runtime: &Rc<Runtime>) -> Rc<RunnerLink> {
-        let pool = ConnectionPool::new(&runtime.limits);
+        let pool = ConnectionPool::new(&runtime.limits, runtime.resources.runner_connections.clone());
         let client = pool.client(&runtime.limits);
         let swept_pool = pool.clone();
         let interval = runtime.limits.sweep_interval;
         actix_rt::spawn(async move {
             loop {
                 tokio::time::sleep(interval).await;
-                swept_pool.close_idle(swept_pool.idle_timeout, |_| true);
+                swept_pool.sweep();
             }
         });
         Rc::new_cyclic(|this| RunnerLink {
--- a/node/src/net/runners/pool.rs
+++ b/node/src/net/runners/pool.rs
@@ -4,6 +4,7 @@
 use super::permit::SEND_PERMIT;
 use crate::limits::Limits;
 use crate::net::head_scanner::HeadScanner;
+use crate::shared::Quota;
 use actix_codec::{AsyncRead, AsyncWrite, ReadBuf};
 use actix_rt::net::{ActixStream, Ready, TcpSocket, TcpStream};
 use actix_tls::connect::{ConnectError as TcpError, ConnectInfo, Connection};
@@ -15,6 +16,7 @@
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::rc::{Rc, Weak};
+use std::sync::Arc;
 use std::task::{Context, Poll};
 use std::time::{Duration, Instant};
 
@@ -125,17 +127,18 @@
 #[derive(Clone)]
 pub struct ConnectionPool {
     connections: Rc<RefCell<Vec<Weak<PooledConnection>>>>,
-    max_connections: usize,
+    limit: Arc<Quota>,
     pub idle_timeout: Duration,
     min_idle: Duration,
     max_head_bytes: usize,
 }
 
 impl ConnectionPool {
-    pub fn new(limits: &Limits) -> ConnectionPool {
+    /// Creates a pool of at most as many connections as `limit` has, which other processes may share.
+    pub fn new(limits: &Limits, limit: Arc<Quota>) -> ConnectionPool {
         ConnectionPool {
             connections: Rc::default(),
-            max_connections: limits.max_runner_connections,
+            limit,
             idle_timeout: limits.idle_timeout,
             min_idle: limits.evict_idle_after,
             max_head_bytes: limits.max_head_bytes,
@@ -194,15 +197,25 @@
         }
     }
 
+    /// Closes what has been idle for too long, and gives other processes what is not in use. Closes all idle
+    /// connections where another process leaves too little.
+    pub fn sweep(&self) {
+        self.close_idle(self.idle_timeout, |_| true);
+        if self.count() > self.limit.available() {
+            self.close_idle(Duration::ZERO, |_| true);
+        }
+        self.limit.release_beyond(self.count());
+    }
+
     /// Makes room for one more connection; an error if all are in use.
     fn make_room(&self) -> io::Result<()> {
         for idle in [self.idle_timeout, self.idle_timeout / 4, Duration::ZERO] {
-            if self.count() < self.max_connections {
+            if self.limit.ensure(self.count() + 1) {
                 return Ok(());
             }
             self.close_idle(idle, |_| true);
         }
-        if self.count() < self.max_connections {
+        if self.limit.ensure(self.count() + 1) {
             Ok(())
         } else {
             Err(io::Error::other("too many connections to runners"))
--- a/node/src/net/socket_activation.rs
+++ b/node/src/net/socket_activation.rs
@@ -1,6 +1,6 @@
 //! Socket activation: takes over the clients' listening socket on the descriptor that `$NODE_LISTEN_FD`
-//! names, so that a process that replaces another serves the same listen queue without a gap. Holds the
-//! program's only unsafe code, which takes a descriptor by its number, and the checks that make it sound.
+//! names, so that a process that replaces another serves the same listen queue without a gap. Holds
+//! unsafe code that takes a descriptor by its number, and the checks that make it sound.
 //! Never binds a socket, and never closes or takes another descriptor.
 
 use std::os::fd::{FromRawFd, RawFd};
--- a/node/src/runtime.rs
+++ b/node/src/runtime.rs
@@ -5,6 +5,7 @@
 mod job;
 mod links;
 mod observer;
+mod peers;
 mod reporting;
 mod tickets;
 
@@ -18,6 +19,7 @@
 use crate::limits::Limits;
 use crate::memory::MemoryBudget;
 use crate::metrics::{AnswerKind, ClassMetrics, Metrics};
+use crate::shared::{SharedFile, SharedResources};
 use reporting::log_input;
 use sablerun as sr;
 use std::cell::{Cell, OnceCell, RefCell};
@@ -34,6 +36,8 @@
     pub clock: Clock,
     /// The memory for messages of the platform's clients and runners.
     pub memory: MemoryBudget,
+    /// The limits that the other process of a replacement shares.
+    pub resources: SharedResources,
     core: RefCell<Core<Rc<Job>>>,
     pending_inputs: RefCell<VecDeque<Input<Rc<Job>>>>,
     stepping: Cell<bool>,
@@ -60,10 +64,22 @@
 
 impl Runtime {
     pub fn new(core: Core<Rc<Job>>, clock: Clock, limits: Limits) -> Rc<Runtime> {
-        let memory = MemoryBudget::new(limits.message_memory_bytes, limits.evict_from_memory_after);
+        Runtime::with_shared(core, clock, limits, None)
+    }
+
+    /// Creates a runtime that shares its limits with the other processes that use the file.
+    pub fn with_shared(
+        core: Core<Rc<Job>>,
+        clock: Clock,
+        limits: Limits,
+        file: Option<Arc<SharedFile>>,
+    ) -> Rc<Runtime> {
+        let resources = SharedResources::new(&limits, file);
+        let message_memory = resources.message_memory.clone();
         Rc::new(Runtime {
+            memory: MemoryBudget::with_quota(message_memory, limits.evict_from_memory_after),
             limits,
-            memory,
+            resources,
             clock,
             core: RefCell::new(core),
             pending_inputs: RefCell::default(),
@@ -112,11 +128,13 @@
             let Some(input) = next else { break };
             runners_changed |= matches!(input, Input::List(..) | Input::SetDisabled { .. });
             log_input(&input);
+            let input = self.claim_for(input);
             let effects = self.step(input);
             for effect in effects {
                 self.apply_effect(effect);
             }
         }
+        self.release_open_requests();
         self.stepping.set(false);
         Metrics::set(&self.metrics.current, self.core.borrow().open());
         if runners_changed || self.runners_counted_at.get().elapsed() > self.limits.runner_count_interval {
