A request id is open in one process of a replacement, under one member and class

Cause: each process knew only its own open ids, and runners know a job by its id alone, so that a call-back that reached the new process was taken for its own request. Within one process the same happened with [keys]: an id under the same key text was let through whatever its member and class, though a key identifies a request only within both; the second request took the first one's place in requests_by_id.

Change: a process claims an id before the core admits the request, by a lock on the byte of the id's hash in the shared file, until no attempt of the request is left. The kernel gives it to one process, whether or not the other runs. A record beside it outlasts a killed process until the request's deadline and a second, since its job may still run. A request whose id the other process has fails (502), or is refused with a time to retry (503) if it repeats the other one under the same key, class and member. The core compares member and class too.

--- a/node/src/core.rs
+++ b/node/src/core.rs
@@ -99,6 +99,8 @@
     discovery: SocketAddr,
     /// Most requests open at once; further ones are refused before the balancer sees them.
     max_open: usize,
+    /// Reports each request that is removed.
+    report_removed: bool,
     next_request: u32,
     requests: HashMap<u32, Request<J>>,
     requests_by_id: HashMap<Rc<str>, u32>,
@@ -151,6 +153,7 @@
             tables,
             discovery,
             max_open,
+            report_removed: false,
             next_request: 0,
             requests: HashMap::new(),
             requests_by_id: HashMap::new(),
@@ -173,6 +176,11 @@
         &self.tables
     }
 
+    /// Reports each request that is removed from now on.
+    pub fn report_removed_requests(&mut self) {
+        self.report_removed = true;
+    }
+
     /// Whether a request with this id is present, answered or not.
     pub fn has_request(&self, id: &str) -> bool {
         self.requests_by_id.contains_key(id)
--- a/node/src/core/input.rs
+++ b/node/src/core/input.rs
@@ -223,6 +223,8 @@
     FetchDigest,
     /// Close idle connections to a runner.
     CloseIdle(String),
+    /// The request of this id is gone: no attempt of it is left. Only reported if asked for.
+    RequestRemoved(Rc<str>),
     /// The result of an operator's call to disable or enable a runner.
     AdminResult {
         call: u64,
--- a/node/src/core/requests.rs
+++ b/node/src/core/requests.rs
@@ -24,17 +24,21 @@
         }
         // Runners identify requests by id, so a second request with the id of a present one can't be sent.
         let duplicate = self.requests_by_id.get(&id).and_then(|number| self.requests.get(number));
-        let same_key = |other: &Request<J>| match (&other.key, &key) {
-            (Some(pending), Some(key)) => pending.text == key.text && !other.answered,
+        let member = tenant.map_or(keys::Member::NONE, keys::Member);
+        // A key identifies a request within its member and class alone.
+        let repeats = |other: &Request<J>| match (&other.key, &key) {
+            (Some(pending), Some(key)) => {
+                let same_owner = pending.member == member && other.class == class;
+                same_owner && pending.text == key.text && !other.answered
+            }
             _ => false,
         };
-        if duplicate.is_some_and(|other| !same_key(other)) {
+        if duplicate.is_some_and(|other| !repeats(other)) {
             return self.answer_ticket(ticket, Answer::Failed(ID_IN_USE));
         }
         // No request outlives the program.
         let deadline = self.stop_at.map_or(deadline, |stop| deadline.min(stop));
         let number = self.next_request;
-        let member = tenant.map_or(keys::Member::NONE, keys::Member);
         let mut prior = None;
         if let (Some(store), Some(key)) = (&mut self.keys, &key) {
             let keyed_request = keys::KeyedRequest {
@@ -176,6 +180,9 @@
         if self.requests.get(&request).is_some_and(|r| r.answered && r.attempts.iter().all(|a| !a.live)) {
             let entry = self.requests.remove(&request).expect("looked up above");
             self.requests_by_id.remove(&entry.id);
+            if self.report_removed {
+                self.effects.push(Effect::RequestRemoved(entry.id));
+            }
         }
     }
 
--- a/node/src/runtime.rs
+++ b/node/src/runtime.rs
@@ -69,12 +69,15 @@
 
     /// Creates a runtime that shares its limits with the other processes that use the file.
     pub fn with_shared(
-        core: Core<Rc<Job>>,
+        mut core: Core<Rc<Job>>,
         clock: Clock,
         limits: Limits,
         file: Option<Arc<SharedFile>>,
     ) -> Rc<Runtime> {
         let resources = SharedResources::new(&limits, file);
+        if resources.request_ids.is_some() {
+            core.report_removed_requests();
+        }
         let message_memory = resources.message_memory.clone();
         Rc::new(Runtime {
             memory: MemoryBudget::with_quota(message_memory, limits.evict_from_memory_after),
@@ -129,10 +132,16 @@
             runners_changed |= matches!(input, Input::List(..) | Input::SetDisabled { .. });
             log_input(&input);
             let input = self.claim_for(input);
+            let arrived = match &input {
+                Input::Arrived(arrival) => Some(arrival.id.clone()),
+                _ => None,
+            };
             let effects = self.step(input);
             for effect in effects {
                 self.apply_effect(effect);
             }
+            // A request that was answered at once, or joined another one, needs no id.
+            arrived.iter().for_each(|id| self.release_id(id));
         }
         self.release_open_requests();
         self.stepping.set(false);
@@ -199,6 +208,7 @@
                 let source = self.digest_source.borrow().clone();
                 source.into_iter().for_each(|source| source.fetch_full());
             }
+            Effect::RequestRemoved(id) => self.release_id(&id),
             Effect::AdminResult { call, result } => *self.admin_result.borrow_mut() = Some((call, result)),
             Effect::CloseIdle(runner) => {
                 if let Some(link) = self.link_to(&runner) {
--- a/node/src/shared.rs
+++ b/node/src/shared.rs
@@ -1,15 +1,18 @@
 //! State that the processes of one dispatcher share while one replaces another: how much of the memory and of the
-//! descriptors each uses.
+//! descriptors each uses, and which request ids are open.
 //!
 //! Everything is held by locks on byte ranges of one file (open file description locks, `fcntl(2)`). The kernel
 //! decides who gets a lock, whether or not the other process runs just then, and releases the locks of a process
 //! that ends, however it ends. A process without a shared file has everything for itself.
 
 mod file;
+mod id_records;
 mod quota;
+mod request_ids;
 
 pub use file::SharedFile;
 pub use quota::{Quota, Resource};
+pub use request_ids::{IdClaim, RequestIds};
 
 use crate::limits::Limits;
 use std::sync::Arc;
@@ -32,6 +35,8 @@
     pub list_memory: Arc<Quota>,
     /// Memory for idempotency keys and their results, in bytes.
     pub key_memory: Arc<Quota>,
+    /// Ids of open requests; `None` for a process alone.
+    pub request_ids: Option<RequestIds>,
     file: Option<Arc<SharedFile>>,
 }
 
@@ -56,6 +61,7 @@
                 limits.key_bounds.map_or(0, |bounds| bounds.max_bytes),
                 0.0,
             ),
+            request_ids: file.clone().map(RequestIds::new),
             file,
         }
     }
--- a/node/tests/keys.rs
+++ b/node/tests/keys.rs
@@ -147,3 +147,32 @@
     assert!(reply.starts_with("-ERR MALFORMED PUSH: the idempotency key is empty or too long"), "{reply}");
     assert_eq!(faktory_client.command(&format!("PUSH {}", push("serve", json!({"key": "m"})))), "+OK");
 }
+
+/// Guards against the id of an open request under another member or class, with the same key: it used to take the
+/// other's place, and its client got the other's result. A client's own repeat still joins.
+#[test]
+fn an_open_id_is_taken_under_another_member_or_class_even_with_the_same_key() {
+    let halls = TwoHalls::start();
+    let program = halls.program(KEYS_ON_BOTH_FRONTS);
+    let (client, id) = open_keyed(&program, "wave-release", "k", "5000m", "[\"hang\"]");
+    let runner = halls.wait_for_job("hang");
+    let head = |class: &str| request_head(class, &id, "k", "5000m", "");
+    let other_member = head("wave-release").replace("mehran-dist", "ravi-supply");
+    for taken in [other_member, head("short-pick"), head("pick-route")] {
+        assert_eq!(call(program.address, &taken, "[\"hang\"]").status(), 502, "{taken}");
+    }
+    let mut faktory_client = FaktoryConnection::connect(program.faktory_address.unwrap(), None);
+    for custom in [json!({"key": "k", "member": "ravi-supply"}), json!({"key": "k", "class": "short-pick"})] {
+        let push =
+            json!({"jid": id, "jobtype": "Wave", "queue": "waves", "args": ["hang"], "custom": custom});
+        let reply = faktory_client.command(&format!("PUSH {push}"));
+        assert!(reply.starts_with("-ERR FAILED a request with this id"), "{reply}");
+    }
+    let own_repeat = send_request(&program, &head("wave-release"), "[\"hang\"]");
+    program.log.wait(&format!("request {id} of class"), 5);
+    report_done(&program, &id, &format!("s-{runner}"));
+    for stream in [&client, &own_repeat] {
+        assert_eq!(read_result(stream), (200, "made once".to_owned()));
+    }
+    assert_eq!(halls.jobs_received("hang"), 1);
+}
--- a/node/tests/model/rules.rs
+++ b/node/tests/model/rules.rs
@@ -62,6 +62,7 @@
                     self.list_requests += 1;
                 }
                 Effect::Probe(_) | Effect::CloseIdle(_) | Effect::AdminResult { .. } => {}
+                Effect::RequestRemoved(_) => panic!("removed requests are reported only if asked for"),
                 Effect::FetchDigest => panic!("no digest is configured"),
             }
         }
--- a/node/tests/shared.rs
+++ b/node/tests/shared.rs
@@ -1,11 +1,17 @@
-//! Limits that the processes of one dispatcher share. Each open file is a process of its own to the
+//! Limits and request ids that the processes of one dispatcher share. Each open file is a process of its own to the
 //! kernel, so that one test plays several.
 
-use sablerun_node::shared::{Quota, Resource, SharedFile};
+use sablerun_node::shared::{IdClaim, Quota, RequestIds, Resource, SharedFile};
 use std::path::Path;
-use std::sync::Arc;
+use std::rc::Rc;
+use std::sync::{Arc, Barrier};
+use std::thread;
 
 const CAPACITY: usize = 1_000;
+const NOW_MS: u64 = 1_000_000;
+const DEADLINE_MS: u64 = NOW_MS + 5_000;
+/// Beyond any deadline and the margin for killed processes.
+const MUCH_LATER_MS: u64 = NOW_MS + 60_000;
 
 fn open(folder: &Path) -> Arc<SharedFile> {
     Arc::new(SharedFile::open(folder, ([127, 0, 0, 1], 8080).into()).unwrap())
@@ -75,6 +81,65 @@
     }
 }
 
+/// Guards against one id at both processes of a replacement (review/6).
+#[test]
+fn an_id_is_open_in_one_process_at_a_time() {
+    let folder = tempfile::tempdir().unwrap();
+    let (old, new) = (RequestIds::new(open(folder.path())), RequestIds::new(open(folder.path())));
+    let (id, key): (Rc<str>, _) = ("0badcafe".into(), ["key", "class", "member"]);
+    let claim = |ids: &RequestIds, key| ids.claim(&id, key, NOW_MS, DEADLINE_MS);
+    assert_eq!(claim(&old, Some(key)), IdClaim::Granted);
+    assert_eq!(claim(&new, None), IdClaim::Taken);
+    assert_eq!(claim(&new, Some(["key", "class", "another"])), IdClaim::Taken);
+    assert_eq!(claim(&new, Some(["key", "another", "member"])), IdClaim::Taken);
+    assert_eq!(claim(&new, Some(key)), IdClaim::TakenBySameKey);
+    assert_eq!(new.claim(&"another".into(), None, NOW_MS, DEADLINE_MS), IdClaim::Granted);
+    old.release(&id);
+    assert_eq!(claim(&new, None), IdClaim::Granted);
+    assert_eq!(claim(&old, None), IdClaim::Taken);
+}
+
+/// Guards against the id of a killed process, whose job may still run, being given to another request.
+#[test]
+fn the_id_of_a_killed_process_is_taken_until_its_deadline() {
+    let folder = tempfile::tempdir().unwrap();
+    let (old, new) = (RequestIds::new(open(folder.path())), RequestIds::new(open(folder.path())));
+    let id: Rc<str> = "0badcafe".into();
+    assert_eq!(old.claim(&id, None, NOW_MS, DEADLINE_MS), IdClaim::Granted);
+    drop(old);
+    assert_eq!(new.claim(&id, None, DEADLINE_MS, DEADLINE_MS), IdClaim::Taken);
+    // Also in the process that takes the killed one's place.
+    let next = RequestIds::new(open(folder.path()));
+    assert_eq!(next.claim(&id, None, DEADLINE_MS, DEADLINE_MS), IdClaim::Taken);
+    assert_eq!(next.claim(&id, None, MUCH_LATER_MS, MUCH_LATER_MS), IdClaim::Granted);
+}
+
+/// Guards against both processes taking an id that arrives at them at once.
+#[test]
+fn an_id_that_arrives_at_both_processes_at_once_is_granted_to_one() {
+    const IDS: usize = 300;
+    let folder = tempfile::tempdir().unwrap();
+    let barrier = Arc::new(Barrier::new(2));
+    let process = || {
+        let (file, barrier) = (open(folder.path()), barrier.clone());
+        thread::spawn(move || {
+            let ids = RequestIds::new(file);
+            let claim = |number: usize| {
+                barrier.wait();
+                ids.claim(&number.to_string().into(), None, NOW_MS, DEADLINE_MS) == IdClaim::Granted
+            };
+            let granted: Vec<_> = (0..IDS).map(claim).collect();
+            barrier.wait();
+            granted
+        })
+    };
+    let (first, second) = (process(), process());
+    let (first, second) = (first.join().unwrap(), second.join().unwrap());
+    for number in 0..IDS {
+        assert!(first[number] != second[number], "id {number}");
+    }
+}
+
 /// A limit of one can't be divided: the process that needs it first has it.
 #[test]
 fn a_limit_of_one_stays_usable_while_there_are_two_processes() {
