A waiting attempt is checked when it is handed over: window, deadline, withdrawal, drain

Cause: the balancer checks the window when it decides. The HTTP link checks again at the first byte (Core::may_begin), the Faktory link did not: serve_parked_fetches handed a queued job to a FETCH however late, also one whose request was withdrawn between the delivery and the write. may_begin itself did not look at the runner: what waited for a connection, for a cancellation or in a worker's queue was sent to one that had been draining or disabled meanwhile.

Change: the Faktory link asks may_begin for what is queued before it serves a FETCH, and again before it writes; a job that may not begin ends as never sent, and the balancer decides anew. may_begin also asks whether the runner has been excluded for half of the drain's grace. The HTTP link asks at each write, since an attempt counts by its last byte. The sends metric counts Faktory jobs when they are written.

--- a/node/src/core.rs
+++ b/node/src/core.rs
@@ -119,8 +119,9 @@
     list_entries: BTreeMap<(Source, u32), sr::ListEntry>,
     /// Manually disabled runners: the balancer sees them as draining, whatever the lists say.
     disabled: BTreeSet<u32>,
-    /// The listed runners, and whether each is excluded: disabled, or draining on every list that names it.
-    listed_runners: BTreeMap<u32, bool>,
+    /// The listed runners, and since when each is excluded, if it is: disabled, or draining on every list that
+    /// names it.
+    listed_runners: BTreeMap<u32, Option<sr::Time>>,
     /// Events for the balancer that its own actions caused.
     pending_events: VecDeque<sr::Event>,
     actions: Vec<sr::Action>,
--- a/node/src/core/attempts.rs
+++ b/node/src/core/attempts.rs
@@ -56,8 +56,8 @@
     }
 
     /// Whether an attempt may begin now, which can be some time after it was decided: it has not ended, the
-    /// deadline has not passed, and a repeat of a keyed request arrives within the class's window, with two
-    /// ticks to spare, while the runner still knows the first one.
+    /// deadline has not passed, its runner has not been draining or disabled for so long that sends to it must stop, and a repeat of a keyed request arrives within the class's window, with two ticks to spare, while
+    /// the runner still knows the first one.
     pub fn may_begin(&self, now: sr::Time, attempt: AttemptId) -> bool {
         let Some(request) = self.requests.get(&attempt.request).filter(|r| !r.answered) else { return false };
         let (earlier, this) = request.attempts.split_at(attempt.number as usize);
@@ -70,7 +70,8 @@
             }
             sr::Idempotency::Safe | sr::Idempotency::Unsafe => true,
         };
-        this.first().is_some_and(|a| a.live) && now < request.deadline && in_window
+        let may_send = |a: &Attempt| a.live && !self.is_closed_to_sends(now, a.runner);
+        this.first().is_some_and(may_send) && now < request.deadline && in_window
     }
 
     /// Records the end of a live attempt, answers the request if the attempt succeeded, and notifies the
--- a/node/src/core/disabled.rs
+++ b/node/src/core/disabled.rs
@@ -3,14 +3,14 @@
 
 use super::Core;
 use sablerun as sr;
-use std::collections::BTreeMap;
 
 impl<J: Clone> Core<J> {
     /// The number of listed runners, and of those that are avoided now: disabled, draining, or avoided by
     /// the balancer.
     pub fn runner_counts(&self) -> (usize, usize) {
-        let is_avoided =
-            |(worker, excluded): &(&u32, &bool)| **excluded || self.balancer.avoids(sr::WorkerId(**worker));
+        let is_avoided = |(worker, excluded): &(&u32, &Option<sr::Time>)| {
+            excluded.is_some() || self.balancer.avoids(sr::WorkerId(**worker))
+        };
         (self.listed_runners.len(), self.listed_runners.iter().filter(is_avoided).count())
     }
 
@@ -48,7 +48,7 @@
             }
             self.notify(now, sr::Event::List(sr::ListKind::Delta, entries));
         }
-        self.update_listed_runners();
+        self.update_listed_runners(now);
         Ok(())
     }
 
@@ -62,14 +62,24 @@
         entries
     }
 
-    /// Updates the listed runners, and whether each is excluded (disabled or draining), after a list or a
+    /// Updates the listed runners, and since when each is excluded (disabled or draining), after a list or a
     /// manual change.
-    pub(super) fn update_listed_runners(&mut self) {
-        let mut listed: BTreeMap<u32, bool> = BTreeMap::new();
+    pub(super) fn update_listed_runners(&mut self, now: sr::Time) {
+        let before = std::mem::take(&mut self.listed_runners);
+        let excluded_since = |worker: &u32| before.get(worker).copied().flatten().unwrap_or(now);
         for ((_, worker), entry) in &self.list_entries {
             let excluded = self.disabled.contains(worker) || entry.state != sr::WorkerState::Ready;
-            *listed.entry(*worker).or_insert(true) &= excluded;
+            let listed = self.listed_runners.entry(*worker).or_insert_with(|| Some(excluded_since(worker)));
+            if !excluded {
+                *listed = None;
+            }
         }
-        self.listed_runners = listed;
+    }
+
+    /// Whether sends to an excluded runner must stop now: half of the time in which they must have stopped is over, and
+    /// the rest is for what is being written.
+    pub(super) fn is_closed_to_sends(&self, now: sr::Time, runner: u32) -> bool {
+        let since = self.listed_runners.get(&runner).copied().flatten();
+        since.is_some_and(|since| now >= since + sr::Span(self.settings.drain_grace.0 / 2))
     }
 }
--- a/node/src/core/lists.rs
+++ b/node/src/core/lists.rs
@@ -46,7 +46,7 @@
                 self.list_entries.iter().filter(|((from, _), _)| *from != source).map(|(_, e)| e.clone()),
             );
         }
-        self.update_listed_runners();
+        self.update_listed_runners(now);
         let changed = self.with_disabled_as_draining(changed);
         self.notify(now, sr::Event::List(kind, changed));
     }
--- a/node/src/net/faktory.rs
+++ b/node/src/net/faktory.rs
@@ -818,7 +818,11 @@
             }
         };
         let Some(Delivery { jid, frame }) = job else { return Ok(transport.send("$-1\r\n").await?) };
+        if !self.may_hand_over(wid, &jid) {
+            return Ok(transport.send("$-1\r\n").await?);
+        }
         transport.send_bulk(&frame).await?;
+        crate::metrics::Metrics::add(&self.runtime.metrics.sends);
         let attempt = self.workers.borrow_mut().get_mut(wid).and_then(|worker| {
             let running = worker.running.get_mut(&jid)?;
             running.written = true;
@@ -830,6 +834,20 @@
         Ok(())
     }
 
+    /// Whether a job that was delivered to a FETCH may still be written; takes it from its worker if not.
+    fn may_hand_over(&self, wid: &str, jid: &Rc<str>) -> bool {
+        let mut workers = self.workers.borrow_mut();
+        let Some(worker) = workers.get_mut(wid) else { return false };
+        let Some(attempt) = worker.running.get(jid).map(|running| running.attempt) else { return false };
+        if attempt.is_some_and(|attempt| self.runtime.may_begin(attempt)) {
+            return true;
+        }
+        worker.running.remove(jid);
+        drop(workers);
+        self.end_attempts(attempt.into_iter().collect(), sr::Outcome::Moot);
+        false
+    }
+
     /// Parses the queues of a FETCH. All that a worker has named count against the limit.
     fn parse_queues(&self, wid: &str, text: &str) -> Result<Vec<String>, String> {
         let names = || text.split_whitespace();
@@ -875,8 +893,26 @@
         self.serve_parked_fetches(wid);
     }
 
+    /// Takes out the queued jobs whose attempts may not begin any more: their windows or deadlines have passed, their
+    /// requests are answered, or the worker is taken out of service.
+    fn withdraw_lapsed_jobs(&self, wid: &str) {
+        let mut workers = self.workers.borrow_mut();
+        let Some(worker) = workers.get_mut(wid) else { return };
+        let mut lapsed = Vec::new();
+        worker.queued.retain(|job| {
+            let may_begin = self.runtime.may_begin(job.attempt);
+            if !may_begin {
+                lapsed.push(job.attempt);
+            }
+            may_begin
+        });
+        drop(workers);
+        self.end_attempts(lapsed, sr::Outcome::Moot);
+    }
+
     /// Hands queued jobs to parked FETCHes that take their queues, each FETCH's first queue first.
     fn serve_parked_fetches(&self, wid: &str) {
+        self.withdraw_lapsed_jobs(wid);
         let mut workers = self.workers.borrow_mut();
         let Some(worker) = workers.get_mut(wid).filter(|worker| !worker.quiet) else { return };
         let mut index = 0;
@@ -897,7 +933,6 @@
                 started: Instant::now(),
             };
             worker.running.insert(jid.clone(), running);
-            crate::metrics::Metrics::add(&self.runtime.metrics.sends);
             // Fails if the connection has just closed: `disconnect` ends the attempt then.
             let _ = parked.delivery.send(Delivery { jid, frame });
         }
--- a/node/src/net/runners/permit.rs
+++ b/node/src/net/runners/permit.rs
@@ -1,4 +1,4 @@
-//! The permission to send an attempt, which is given at its first byte.
+//! The permission to send an attempt, which is checked at each write: an attempt counts by its last byte.
 
 use super::pool::PooledConnection;
 use std::cell::{Cell, RefCell};
@@ -10,8 +10,8 @@
     pub static SEND_PERMIT: Rc<SendPermit>;
 }
 
-/// Decides whether an attempt may still be sent, at the moment of its first byte. That may come long after
-/// the attempt was started: the connection may be slow to open, or the runner may have to confirm a
+/// Decides whether an attempt may still be sent, at the moment of each write. That may come long after the attempt
+/// was started: the connection may be slow to open or to take the body, or the runner may have to confirm a
 /// cancellation of the same job first.
 pub struct SendPermit {
     granted: Box<dyn Fn() -> bool>,
@@ -31,7 +31,7 @@
 
     /// Returns whether the attempt may write to this connection.
     pub(super) fn begin(&self, connection: &Rc<PooledConnection>) -> bool {
-        let begins = self.connection.borrow().is_some() || (self.granted)();
+        let begins = (self.granted)();
         if begins {
             self.connection.borrow_mut().get_or_insert_with(|| Rc::downgrade(connection));
         }
@@ -39,7 +39,7 @@
         begins
     }
 
-    /// Whether the attempt had a connection but was not allowed to write, which is no fault of its runner.
+    /// Whether the attempt had a connection but was not allowed to write all, which is no fault of its runner.
     pub fn denied(&self) -> bool {
         self.denied.get()
     }
--- a/node/tests/attempts.rs
+++ b/node/tests/attempts.rs
@@ -10,6 +10,8 @@
 use serde_json::json;
 
 const ACCEPTED: &str = "202 Accepted";
+/// The time after which nothing new may go to a runner that drains.
+const DRAIN_GRACE: std::time::Duration = std::time::Duration::from_millis(500);
 
 /// Starts a program with one raw runner and the given change to the settings.
 fn one_raw(change: impl FnOnce(&mut serde_json::Value)) -> (Discovery, RawRunner, Program) {
@@ -198,3 +200,21 @@
     // The attempt ends as never sent, which does not count against the runner.
     program.log.wait("ended: Moot", 1);
 }
+
+/// Guards against an attempt that is written when its connection is established, though its runner has been draining
+/// for longer than the grace by then.
+#[test]
+fn nothing_is_written_to_a_runner_that_began_to_drain_before_the_connection_was_established() {
+    let late_runner = FullListener::start();
+    let discovery = Discovery::start(vec![host("s-0", late_runner.address, "hall-a", "active")]);
+    let mut changed = settings();
+    changed["limits"]["connectTimeout"] = json!(10_000_000_000u64);
+    let program = Program::start(&discovery, changed, None);
+    let _client = send_api_request(&program, "short-pick", &new_id(), "6000m", "x");
+    late_runner.wait_for_connect();
+    discovery.update(&[host("s-0", late_runner.address, "hall-a", "leaving")]);
+    program.log.wait("list Delta", 1);
+    std::thread::sleep(DRAIN_GRACE);
+    assert_eq!(late_runner.accept_and_read(), "");
+    program.log.wait("ended: Moot", 1);
+}
