--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod net;
 pub mod operator;
 pub mod publisher;
+pub mod replacement;
 pub mod runtime;
 pub mod shared;
 pub mod snapshots;
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -9,20 +9,18 @@
 use sablerun_node::config::{read_config, reload};
 use sablerun_node::core::Input;
 use sablerun_node::limits::Limits;
-use sablerun_node::memory::release_freed_memory;
 use sablerun_node::net::faktory::Faktory;
+use sablerun_node::net::platform;
 use sablerun_node::net::platform::shutdown::Shutdown;
-use sablerun_node::net::platform::{self, Front};
 use sablerun_node::operator::Operator;
-use sablerun_node::runtime::{Clock, Runtime};
-use sablerun_node::shared::SharedFile;
-use sablerun_node::{assembly, cli, disabled_file, jobs_cli, logging, net, publisher, snapshots};
-use std::net::SocketAddr;
+use sablerun_node::runtime::Clock;
+use sablerun_node::{
+    assembly, cli, disabled_file, jobs_cli, logging, net, publisher, replacement, snapshots,
+};
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::rc::Rc;
-use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 use tokio::signal::unix::{SignalKind, signal};
 
 fn main() -> ExitCode {
@@ -73,36 +71,6 @@
     cli::check(operator.as_ref().map(|(path, operator)| (*path, operator)), args.json)
 }
 
-/// Opens the file that the processes of this dispatcher share. Without it, each keeps to the whole limits.
-fn open_shared_file(listen: SocketAddr) -> Option<Arc<SharedFile>> {
-    let folder = std::env::temp_dir();
-    match SharedFile::open(&folder, listen) {
-        Ok(file) => Some(Arc::new(file)),
-        Err(e) => {
-            log::warn!("limits are not shared with another process: {}: {e}", folder.display());
-            None
-        }
-    }
-}
-
-/// Looks regularly for another process of this dispatcher, and makes room for it; never ends.
-async fn share_with_peers(runtime: Rc<Runtime>, front: Rc<Front>) {
-    let mut last_release = Instant::now();
-    loop {
-        tokio::time::sleep(runtime.limits.peer_check_interval).await;
-        let has_peers = runtime.resources.refresh();
-        runtime.share_key_memory();
-        if !has_peers {
-            continue;
-        }
-        front.make_room();
-        if last_release.elapsed() > runtime.limits.memory_release_interval {
-            release_freed_memory();
-            last_release = Instant::now();
-        }
-    }
-}
-
 async fn run(operator: Option<PathBuf>) -> Result<(), String> {
     // Before anything else, so that a SIGHUP no longer ends the program.
     let mut hang_up = signal(SignalKind::hangup()).map_err(|e| format!("SIGHUP: {e}"))?;
@@ -133,7 +101,7 @@
     });
     let inherited = std::env::var("NODE_LISTEN_FD").ok();
     // Only a process on a socket that the platform holds can be one of two.
-    let shared = inherited.as_ref().and_then(|_| open_shared_file(config.listen));
+    let shared = inherited.as_ref().and_then(|_| replacement::open_shared_file(config.listen));
     let runtime = assembly::build_runtime(&config, (settings, tables), clock, limits, store, shared)?;
     if let (Some(file), Some(snapshot)) = (&locked_snapshot, snapshots::capture(&runtime, false)) {
         // Before the first request: otherwise, after a kill, the successor would trust the snapshot of the
@@ -179,7 +147,7 @@
     let listen = bound_address.unwrap_or(config.listen);
     if inherited.is_some() {
         runtime.share_key_memory();
-        actix_rt::spawn(share_with_peers(runtime.clone(), front.clone()));
+        actix_rt::spawn(replacement::share_with_peers(runtime.clone(), front.clone()));
     }
     if let Some(listener) = admin_listener {
         let address = listener.local_addr().map_err(|e| format!("admin_addr: {e}"))?;
--- a/node/src/net/platform/stream.rs
+++ b/node/src/net/platform/stream.rs
@@ -2,13 +2,15 @@
 //! passes one message at a time to the parser, and notices a client's close behind unread input. Responses
 //! pass through unchanged and undelayed; the only ones made here are to a head that is too long or too slow.
 
+mod write;
+
 use crate::net::platform::connection::Connection;
 use crate::net::platform::headers::release_pooled_headers;
 use crate::net::platform::input::InputBuffer;
 use crate::net::platform::lifecycle::{CloseMode, HeadTooLong, Stage};
 use crate::net::platform::timer::{StreamTimer, Timeout};
 use crate::runtime::Runtime;
-use actix_codec::{AsyncRead, AsyncWrite, ReadBuf};
+use actix_codec::{AsyncRead, ReadBuf};
 use socket2::SockRef;
 use std::io::{self, Read};
 use std::pin::Pin;
@@ -207,46 +209,6 @@
     }
 }
 
-impl AsyncWrite for GuardedStream {
-    fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
-        let this = self.get_mut();
-        match Pin::new(this.stream()?).poll_write(cx, buf) {
-            // The client does not read its response: end it after a time, or at once if it is evicted.
-            Poll::Pending
-                if this.connection.lifecycle.get().write_stalled()
-                    || this.timer.expired(Some(Timeout::Write), cx) =>
-            {
-                Poll::Ready(Err(io::ErrorKind::TimedOut.into()))
-            }
-            Poll::Ready(Ok(written)) => {
-                this.connection.last_activity.set(Instant::now());
-                this.timer.stop();
-                Poll::Ready(Ok(written))
-            }
-            polled => polled,
-        }
-    }
-
-    /// actix-http flushes whenever its buffer is full. The response is complete once it has taken the whole of it.
-    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        let this = self.get_mut();
-        ready!(Pin::new(this.stream()?).poll_flush(cx))?;
-        let complete = !this.connection.response_incomplete.get();
-        if complete && this.connection.lifecycle.get().stage() == Stage::WritingResponse {
-            this.input.release_head();
-            this.connection.update(|lifecycle| lifecycle.response_flushed());
-            // Buffered input can be parsed now, and a request to close takes effect.
-            cx.waker().wake_by_ref();
-        }
-        Poll::Ready(Ok(()))
-    }
-
-    /// Does nothing: everything has been written, and [`super::linger::lingering_close`] shuts the socket down.
-    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Poll::Ready(Ok(()))
-    }
-}
-
 impl Drop for GuardedStream {
     fn drop(&mut self) {
         if self.connection.lifecycle.get().stage() == Stage::HeadRead {
--- a/node/src/net/runners/pool.rs
+++ b/node/src/net/runners/pool.rs
@@ -215,11 +215,8 @@
             }
             self.close_idle(idle, |_| true);
         }
-        if self.limit.ensure(self.count() + 1) {
-            Ok(())
-        } else {
-            Err(io::Error::other("too many connections to runners"))
-        }
+        let fits = self.limit.ensure(self.count() + 1);
+        fits.then_some(()).ok_or_else(|| io::Error::other("too many connections to runners"))
     }
 }
 
--- a/node/tests/gateway.rs
+++ b/node/tests/gateway.rs
@@ -1,8 +1,11 @@
 //! The Faktory front by itself: framing, the lifecycle of workers, and SPIFFE identities over TLS.
 
 mod common;
+#[path = "common/gateway.rs"]
+mod gateway;
 
 use common::*;
+use gateway::*;
 use rcgen::{BasicConstraints, CertificateParams, CertifiedIssuer, ExtendedKeyUsagePurpose, IsCa, KeyPair};
 use rcgen::{KeyUsagePurpose, SanType};
 use rustls::pki_types::pem::PemObject;
@@ -12,23 +15,7 @@
 use std::net::{SocketAddr, TcpStream};
 use std::path::Path;
 use std::sync::Arc;
-use std::thread::{self, JoinHandle};
-use std::time::Duration;
-
-/// The time after which nothing new may go to a runner that is taken out of service.
-const DRAIN_GRACE: Duration = Duration::from_millis(500);
-
-fn start(gateway: &str, settings: serde_json::Value) -> (Discovery, Program, SocketAddr) {
-    let discovery = Discovery::start(Vec::new());
-    let program = Program::start(&discovery, settings, Some(gateway));
-    let address = program.faktory_address.unwrap();
-    (discovery, program, address)
-}
-
-/// Pushes a job from a new thread; joining it returns the reply.
-fn push(address: SocketAddr, job: String) -> JoinHandle<String> {
-    thread::spawn(move || FaktoryConnection::connect(address, None).command(&format!("PUSH {job}")))
-}
+use std::thread;
 
 /// Fetches until there is a job.
 fn fetch(connection: &mut FaktoryConnection<TcpStream>, queues: &str) -> serde_json::Value {
@@ -177,56 +164,6 @@
 
 /// A new wid is a process that has just started: it gets no more jobs than slow start allows, however many of
 /// its connections are parked.
-/// Pushes a keyed job that a first worker fetches and loses with its connection, so that it is queued again for the
-/// second worker, which does not fetch. Returns the second worker and the client's reply.
-fn queue_a_repeat(
-    address: SocketAddr,
-    program: &Program,
-    custom: serde_json::Value,
-) -> (FaktoryConnection<TcpStream>, JoinHandle<String>) {
-    let mut first = FaktoryConnection::connect(address, Some("w-1"));
-    assert_eq!(first.command("FETCH waves"), "$-1");
-    first.send("FETCH waves");
-    let client = push(address, job("waves", &new_id(), "x", custom));
-    first.read_fetched().expect("the job");
-    let mut second = FaktoryConnection::connect(address, Some("w-2"));
-    assert_eq!(second.command("FETCH waves"), "$-1");
-    drop(first);
-    program.log.wait("at wid:w-2", 1);
-    (second, client)
-}
-
-/// Guards against a repeat that is handed out after the window for repeats (review/8): it waited for a worker's FETCH
-/// and took effect twice.
-#[test]
-fn a_queued_repeat_is_not_handed_out_after_its_window() {
-    const WINDOW: Duration = Duration::from_millis(1_500);
-    let mut settings = settings();
-    settings["services"][2]["window"] = json!(WINDOW.as_nanos() as u64);
-    let (_discovery, program, address) = start(GATEWAY_CONFIG, settings);
-    let (mut second, client) = queue_a_repeat(address, &program, json!({"timeout_ms": 4_000}));
-    thread::sleep(WINDOW);
-    assert_eq!(second.fetch("waves"), None);
-    assert!(client.join().unwrap().starts_with("-ERR FAILED"));
-}
-
-/// Guards against the same for a worker that an operator has disabled, or that the list excludes.
-#[test]
-fn a_queued_job_is_not_handed_to_a_worker_that_was_disabled() {
-    let discovery = Discovery::start(Vec::new());
-    let mut config = Program::config(discovery.address, settings());
-    config["admin_addr"] = json!("127.0.0.1:0");
-    let program = Program::start_with(config, Some(GATEWAY_CONFIG));
-    let address = program.faktory_address.unwrap();
-    let (mut second, client) = queue_a_repeat(address, &program, json!({"timeout_ms": 4_000}));
-    let mut admin = TcpStream::connect(program.admin_address()).unwrap();
-    admin.write_all(b"DISABLE wid:w-2\n").unwrap();
-    program.log.wait("runner disabled", 1);
-    thread::sleep(DRAIN_GRACE);
-    assert_eq!(second.fetch("waves"), None);
-    assert!(client.join().unwrap().starts_with("-ERR"));
-}
-
 #[test]
 fn a_worker_in_slow_start_is_not_flooded() {
     let mut slow_start = settings();
