--- a/node/benches/memory/forms.rs
+++ b/node/benches/memory/forms.rs
@@ -14,6 +14,8 @@
 pub enum Target {
     /// The platform's front.
     Platform,
+    /// The platform's front, whose process is replaced meanwhile.
+    Replacement,
     /// The platform's front, with jobs whose results are not read.
     Result,
     /// The Faktory front.
@@ -62,6 +64,17 @@
     (0..85).map(|n| format!("\r\nX-More-{n}: {}", "y".repeat(165))).collect()
 }
 
+/// As many short headers as the parser accepts beside the others.
+fn short_headers() -> String {
+    (0..85).map(|n| format!("\r\nh{n}: v")).collect()
+}
+
+/// A job that the runner serves, with a body of this length.
+fn served(length: usize, more: &str) -> String {
+    let head = request("short-pick", &format!("Content-Length: {length}"), more);
+    head + &format!("{:<length$}", "usual")
+}
+
 /// A TLS handshake message of 60 kB without its end, in records of the largest size.
 fn client_hello() -> Vec<u8> {
     const RECORD_BYTES: u16 = 16_384;
@@ -101,6 +114,27 @@
             format!("POST /api HTTP/1.1\r\nX: {}", x(15_000)),
         ),
         form("http head of 85 headers, body stops", Target::Platform, chunked(&many_headers()) + "5\r\nx"),
+        form("http jobs of 30,000, 85 short headers", Target::Platform, served(30_000, &short_headers())),
+        form("http jobs of 30,000", Target::Platform, served(30_000, "")),
+        form("http 85 short headers, body stops", Target::Platform, chunked(&short_headers()) + "5\r\nx"),
+        form("http 85 headers of one name", Target::Platform, chunked(&"\r\nh: v".repeat(85)) + "5\r\nx"),
+        form(
+            "http 85 short headers, no Host",
+            Target::Platform,
+            format!("POST /api HTTP/1.1{}\r\n\r\n", short_headers()),
+        ),
+        form(
+            "http call-backs, 85 short headers",
+            Target::Platform,
+            format!(
+                "POST /v1/job-events HTTP/1.1\r\nHost: t\r\nContent-Length: 9{}\r\n\r\nx",
+                short_headers()
+            ),
+        ),
+        form("replaced, jobs of 30,000", Target::Replacement, served(30_000, "")),
+        form("replaced, jobs of 60,000", Target::Replacement, served(60_000, "")),
+        form("replaced, 30,000 and 85 headers", Target::Replacement, served(30_000, &short_headers())),
+        form("replaced, 65,400 bytes that stop", Target::Replacement, sized(MAX_BODY_BYTES) + &x(65_400)),
         form("http length, 65,400 bytes", Target::Platform, sized(MAX_BODY_BYTES) + &x(65_400)),
         form("http length, 33,000 bytes", Target::Platform, sized(MAX_BODY_BYTES) + &x(33_000)),
         form("http length, 5,000 bytes", Target::Platform, sized(MAX_BODY_BYTES) + &x(5_000)),
@@ -192,6 +226,12 @@
             Target::Runner,
             format!("HTTP/1.1 202 Accepted\r\nX: {}", x(120_000)),
         ),
+        form(
+            "runner answers with 85 headers, no end",
+            Target::Runner,
+            format!("HTTP/1.1 202 Accepted{}\r\nTransfer-Encoding: chunked\r\n\r\n", short_headers())
+                + &"1\r\nx\r\n".repeat(60_000),
+        ),
         form(
             "runner answers with an endless body",
             Target::Runner,
--- a/node/benches/memory/main.rs
+++ b/node/benches/memory/main.rs
@@ -11,8 +11,8 @@
 
 use forms::{Form, Target};
 use sablerun_stand_ins::scripted::{Discovery, GATEWAY_CONFIG, Program, host, settings};
-use serde_json::json;
-use std::net::SocketAddr;
+use serde_json::{Value, json};
+use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering::Relaxed};
 use std::thread;
@@ -24,8 +24,13 @@
 /// The bad clients hold a third of the descriptors.
 const DESCRIPTORS_FOR_EACH_BAD_CLIENT: u64 = 3;
 const DURATION: Duration = Duration::from_secs(3);
+const LOG_LEVEL: &str = "error,sablerun=info,sablerun_node::net::discovery=debug";
 const SAMPLE_INTERVAL: Duration = Duration::from_millis(5);
 
+/// When a process is replaced in a play, and how long such a play lasts.
+const REPLACE_AFTER: Duration = Duration::from_millis(1_500);
+const REPLACEMENT_DURATION: Duration = Duration::from_secs(6);
+
 /// How requests ended.
 #[derive(Default)]
 pub(crate) struct Ends {
@@ -68,9 +73,31 @@
     line.and_then(|line| line.trim().trim_end_matches(" kB").parse().ok()).unwrap_or(0)
 }
 
+/// Returns the memory of processes together, in kB. A page that they share counts once.
+fn memory_together_kb(processes: &[u32]) -> u64 {
+    if let [process] = processes {
+        return memory_kb(*process, "VmRSS");
+    }
+    let proportional = |process: &u32| {
+        let text = std::fs::read_to_string(format!("/proc/{process}/smaps_rollup")).unwrap_or_default();
+        let line = text.lines().find_map(|line| line.strip_prefix("Pss:"));
+        line.and_then(|line| line.trim().trim_end_matches(" kB").parse::<u64>().ok()).unwrap_or(0)
+    };
+    processes.iter().map(proportional).sum()
+}
+
+/// Starts a second process on the same socket once it is time, and tells the first to end when it is ready.
+fn replace(program: &Program, config: &Value, socket: &TcpListener) -> Program {
+    let mut command = Program::command_on_socket(config, socket, Some(program));
+    command.env("RUST_LOG", LOG_LEVEL);
+    let new = Program::spawn_until(command, false, "list ");
+    program.signal("TERM");
+    new
+}
+
 fn target_address(program: &Program, target: Target) -> SocketAddr {
     match target {
-        Target::Platform | Target::Result => program.address,
+        Target::Platform | Target::Replacement | Target::Result => program.address,
         Target::Faktory | Target::Tls | Target::PassingWorkers => {
             program.faktory_address.expect("the front is on")
         }
@@ -99,8 +126,17 @@
     if form.target == Target::Admin {
         config["admin_addr"] = json!("127.0.0.1:0");
     }
-    let mut command = Program::command(&config, gateway.as_deref());
-    command.env("RUST_LOG", "error,sablerun=info,sablerun_node::net::discovery=debug");
+    let socket = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let is_replaced = form.target == Target::Replacement;
+    if is_replaced {
+        config["admin_addr"] = json!("127.0.0.1:0");
+        config["listen"] = json!(socket.local_addr().expect("bound above").to_string());
+    }
+    let mut command = match is_replaced {
+        true => Program::command_on_socket(&config, &socket, None),
+        false => Program::command(&config, gateway.as_deref()),
+    };
+    command.env("RUST_LOG", LOG_LEVEL);
     let program = Program::spawn_until(command, gateway.is_some(), "list ");
     runner.serve(&program);
     thread::sleep(Duration::from_millis(300));
@@ -119,11 +155,21 @@
         threads.push(thread::Builder::new().stack_size(128 * 1024).spawn(client).expect("a thread"));
     }
     let (began, mut peak_kb) = (Instant::now(), 0);
-    while began.elapsed() < DURATION {
-        peak_kb = memory_kb(process, "VmRSS").max(peak_kb);
+    let mut processes = vec![process];
+    let mut replacing = None;
+    let duration = if is_replaced { REPLACEMENT_DURATION } else { DURATION };
+    while began.elapsed() < duration {
+        if is_replaced && replacing.is_none() && began.elapsed() > REPLACE_AFTER {
+            let new = replace(&program, &config, &socket);
+            processes.push(new.child.id());
+            replacing = Some(new);
+        }
+        peak_kb = memory_together_kb(&processes).max(peak_kb);
         thread::sleep(SAMPLE_INTERVAL);
     }
-    peak_kb = memory_kb(process, "VmHWM").max(peak_kb);
+    if !is_replaced {
+        peak_kb = memory_kb(process, "VmHWM").max(peak_kb);
+    }
     play.stop.store(true, Relaxed);
     threads.into_iter().for_each(|thread| thread.join().expect("no thread panics"));
     let count = |counter: &AtomicU64| counter.load(Relaxed);
