A Faktory job's arguments are not held twice once they are parsed

Cause: each small object takes some 600 bytes once it is parsed, and parse_job copied the parsed arguments to write them as text. The text is written from the parsed job itself now.

--- a/node/src/core/attempts.rs
+++ b/node/src/core/attempts.rs
@@ -56,7 +56,8 @@
     }
 
     /// Whether an attempt may begin now, which can be some time after it was decided: it has not ended, the
-    /// deadline has not passed, its runner has not been draining or disabled for so long that sends to it must stop, and a repeat of a keyed request arrives within the class's window, with two ticks to spare, while
+    /// deadline has not passed, its runner has not been draining or disabled for so long that sends to it must
+    /// stop, and a repeat of a keyed request arrives within the class's window, with two ticks to spare, while
     /// the runner still knows the first one.
     pub fn may_begin(&self, now: sr::Time, attempt: AttemptId) -> bool {
         let Some(request) = self.requests.get(&attempt.request).filter(|r| !r.answered) else { return false };
--- a/node/src/net/faktory.rs
+++ b/node/src/net/faktory.rs
@@ -523,7 +523,7 @@
             return Err("jid is malformed".into());
         }
         let jobtype = job["jobtype"].as_str().filter(|t| !t.is_empty()).ok_or("jobtype is missing")?;
-        let args = job["args"].as_array().ok_or("args is no array")?;
+        let args = Some(&job["args"]).filter(|args| args.is_array()).ok_or("args is no array")?;
         let queue = match &job["queue"] {
             Value::Null => "default",
             queue => queue.as_str().ok_or("queue is malformed")?,
@@ -574,7 +574,7 @@
         }
         let job = Job {
             target: route.map_or_else(config::default_target, |r| r.target.clone()),
-            body: self.held_text(&Value::from(args.clone())).ok_or(PushError::OutOfMemory)?,
+            body: self.held_text(args).ok_or(PushError::OutOfMemory)?,
             key: Some(key.unwrap_or(jid).to_owned()),
             content_type: Some("application/json".to_owned()),
             class: class_name.to_owned(),
--- a/node/tests/memory.rs
+++ b/node/tests/memory.rs
@@ -205,6 +205,28 @@
     }
 }
 
+/// Guards against the same crash by jobs whose arguments take a hundred times their text once they are parsed: they
+/// were held twice meanwhile.
+#[test]
+fn faktory_jobs_of_many_small_objects_do_not_exceed_the_memory_limit() {
+    const OBJECTS: usize = 17_500;
+    const CLIENTS: usize = 20;
+    let args = vec![r#"{"":1}"#; OBJECTS].join(",");
+    let Installation { program, .. } = &start(Some(GATEWAY_CONFIG));
+    let address = program.faktory_address.unwrap();
+    let push = |_| {
+        let job = json!({"jid": new_id(), "jobtype": "ShortPick", "queue": "picks"}).to_string();
+        let frame = format!("{},\"args\":[{args}]}}", job.trim_end_matches('}'));
+        thread::spawn(move || FaktoryConnection::connect(address, None).command(&format!("PUSH {frame}")))
+    };
+    let clients: Vec<_> = (0..CLIENTS).map(push).collect();
+    for client in clients {
+        let reply = client.join().unwrap();
+        assert!(reply.starts_with("-ERR") || reply == "+OK", "{reply}");
+    }
+    assert_within_memory(program, "jobs of small objects");
+}
+
 /// Guards against the same crash by forwarded call-backs on the admin socket.
 #[test]
 fn unfinished_calls_on_the_admin_socket_do_not_exceed_the_memory_limit() {
