--- a/node/tests/replacement.rs
+++ b/node/tests/replacement.rs
@@ -2,9 +2,13 @@
 //! whichever is told to end, is killed or stands still.
 
 mod common;
+#[path = "common/descriptors.rs"]
+mod descriptors;
 
 use common::*;
+use descriptors::DescriptorSampler;
 use serde_json::{Value, json};
+use std::io::Write;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::time::{Duration, Instant};
 
@@ -25,11 +29,14 @@
 
 impl Replacement {
     fn start(change: impl FnOnce(&mut Value)) -> Replacement {
+        Replacement::start_with_config(|config| change(&mut config["settings"]))
+    }
+
+    fn start_with_config(change: impl FnOnce(&mut Value)) -> Replacement {
         let runner = Runner::start("s-0");
         let discovery = Discovery::start(vec![host("s-0", runner.address, "hall-a", "active")]);
-        let mut changed = settings();
-        change(&mut changed);
-        let mut config = Program::config(discovery.address, changed);
+        let mut config = Program::config(discovery.address, settings());
+        change(&mut config);
         config["admin_addr"] = "127.0.0.1:0".into();
         let socket = TcpListener::bind("127.0.0.1:0").unwrap();
         config["listen"] = socket.local_addr().unwrap().to_string().into();
@@ -82,6 +89,13 @@
     }
 }
 
+/// Opens a connection, sends half a request and stays.
+fn silent_request(address: SocketAddr) -> TcpStream {
+    let mut stream = TcpStream::connect(address).unwrap();
+    let _ = stream.write_all(b"POST /api HTTP/1.1\r\n");
+    stream
+}
+
 /// Guards against twice the limits while a process is replaced (review/10): the new process has what the old one
 /// leaves, and the whole once that was killed. Another replacement follows at once.
 #[test]
@@ -101,6 +115,53 @@
     assert_eq!(replacement.run_job(&new_id(), ""), 503);
 }
 
+/// Guards against a limit that stays divided when it is the new process that ends.
+#[test]
+fn the_old_process_has_the_whole_again_when_the_new_one_dies() {
+    let replacement = Replacement::start(|settings| settings["limits"]["maxOpen"] = json!(MAX_OPEN));
+    let mut new = replacement.start_new();
+    new.child.kill().unwrap();
+    new.child.wait().unwrap();
+    let open: Vec<_> = (0..MAX_OPEN).map(|_| replacement.open_job(&new_id())).collect();
+    assert_eq!(open.len(), MAX_OPEN);
+    // The next one finds all places taken.
+    let _next = replacement.replace();
+    assert_eq!(replacement.run_job(&new_id(), ""), 503);
+}
+
+/// Guards against places being given away that a process holds which stands still.
+#[test]
+fn a_stalled_process_keeps_the_places_of_its_open_requests() {
+    let replacement = Replacement::start(|settings| settings["limits"]["maxOpen"] = json!(MAX_OPEN));
+    let _open: Vec<_> = (0..MAX_OPEN).map(|_| replacement.open_job(&new_id())).collect();
+    let _new = replacement.replace();
+    replacement.old.signal("STOP");
+    assert_eq!(replacement.run_job(&new_id(), ""), 503);
+    replacement.old.signal("CONT");
+}
+
+/// Guards against twice the descriptors while a process is replaced under hundreds of connections.
+#[test]
+fn both_processes_together_keep_to_the_limit_of_descriptors() {
+    const DESCRIPTORS: usize = 256;
+    const CONNECTIONS: usize = 300;
+    let mut replacement = Replacement::start_with_config(|config| {
+        config["limits"]["sockets"] = json!(DESCRIPTORS);
+    });
+    let _connections: Vec<_> = (0..CONNECTIONS).map(|_| silent_request(replacement.address)).collect();
+    let old = replacement.old.child.id();
+    let sampler = DescriptorSampler::start(old);
+    let new = replacement.start_new();
+    sampler.add(new.child.id());
+    let _more: Vec<_> = (0..CONNECTIONS).map(|_| silent_request(replacement.address)).collect();
+    replacement.old.signal("TERM");
+    assert!(replacement.old.child.wait().unwrap().success());
+    replacement.wait_until_served();
+    let most = sampler.stop();
+    assert!(most <= DESCRIPTORS, "{most} descriptors of {DESCRIPTORS}");
+    drop(new);
+}
+
 /// Guards against another client's open id at the other process (review/6), also under another member or class:
 /// both clients got each other's results.
 #[test]
