A request id is claimed with one read of the records and released without hashing it again

Cause: the claim read eight rows one by one, and the release hashed the id a second time. A process on a socket that the platform holds pays this for each request, also while it is alone. A process without such a socket pays nothing.

--- a/node/src/shared/id_records.rs
+++ b/node/src/shared/id_records.rs
@@ -5,7 +5,7 @@
 use super::file::MAX_PROCESSES;
 use std::io;
 
-/// Rows of the table, a power of two.
+/// Rows that may be an id's own row. Some more follow, in which the last ones' records may be.
 const ROWS: usize = 1024;
 /// Rows that are searched from an id's own row on.
 const SEARCHED_ROWS: usize = 8;
@@ -59,21 +59,19 @@
 
 /// Looks for an id in the records of all processes.
 pub(super) fn find(file: &SharedFile, id_hash: u64, now_ms: u64) -> Found {
-    let first_row = id_hash as usize % ROWS;
+    let offset = TABLE_OFFSET + id_hash as usize % ROWS * ROW_BYTES;
+    let mut rows = [0; SEARCHED_ROWS * ROW_BYTES];
+    file.read_at(&mut rows, offset as u64);
     let mut found = Found::default();
-    let mut row = [0; ROW_BYTES];
-    for number in 0..SEARCHED_ROWS {
-        let row_offset = TABLE_OFFSET + (first_row + number) % ROWS * ROW_BYTES;
-        file.read_at(&mut row, row_offset as u64);
-        for (place, bytes) in row.chunks_exact(RECORD_BYTES).enumerate() {
-            let record = IdRecord::decode(bytes);
-            let in_use = record.id_hash != 0 && record.expires_ms > now_ms;
-            if in_use && record.id_hash == id_hash {
-                found.record = Some(record);
-            }
-            if !in_use && place == file.place() && found.free.is_none() {
-                found.free = Some(RecordOffset((row_offset + place * RECORD_BYTES) as u64));
-            }
+    for (number, bytes) in rows.chunks_exact(RECORD_BYTES).enumerate() {
+        let record = IdRecord::decode(bytes);
+        let in_use = record.id_hash != 0 && record.expires_ms > now_ms;
+        if in_use && record.id_hash == id_hash {
+            found.record = Some(record);
+        }
+        let is_own = number % MAX_PROCESSES == file.place();
+        if !in_use && is_own && found.free.is_none() {
+            found.free = Some(RecordOffset((offset + number * RECORD_BYTES) as u64));
         }
     }
     found
--- a/node/src/shared/request_ids.rs
+++ b/node/src/shared/request_ids.rs
@@ -28,11 +28,18 @@
     TakenBySameKey,
 }
 
+/// What this process holds for an id.
+struct Held {
+    /// The offset of the byte that it locks.
+    lock: u64,
+    /// Where the id's record is, if there was room for one.
+    record: Option<RecordOffset>,
+}
+
 /// The ids that this process has claimed.
 pub struct RequestIds {
     file: Arc<SharedFile>,
-    /// Where the record of each is, if there was room for one.
-    claimed: RefCell<HashMap<Rc<str>, Option<RecordOffset>>>,
+    claimed: RefCell<HashMap<Rc<str>, Held>>,
 }
 
 impl RequestIds {
@@ -79,18 +86,18 @@
         }
         let expires_ms = deadline_ms + EXPIRY_MARGIN.as_millis() as u64;
         let record = IdRecord { id_hash, key_hash, expires_ms };
-        let written = found.free.filter(|offset| id_records::write(&self.file, *offset, record).is_ok());
-        self.claimed.borrow_mut().insert(id.clone(), written);
+        let record = found.free.filter(|offset| id_records::write(&self.file, *offset, record).is_ok());
+        self.claimed.borrow_mut().insert(id.clone(), Held { lock, record });
         IdClaim::Granted
     }
 
     /// Releases an id, whose request is gone.
     pub fn release(&self, id: &str) {
-        let Some(record) = self.claimed.borrow_mut().remove(id) else { return };
+        let Some(Held { lock, record }) = self.claimed.borrow_mut().remove(id) else { return };
         if let Some(offset) = record {
             // The record goes first: who gets the lock afterwards finds none.
             let _ = id_records::write(&self.file, offset, IdRecord::default());
         }
-        self.file.unlock(LOCKS_OFFSET | (self.hash(&[id]) & LOCK_BITS));
+        self.file.unlock(lock);
     }
 }
