--- a/node/tests/common/gateway.rs
+++ b/node/tests/common/gateway.rs
@@ -1,5 +1,7 @@
 //! A program with the Faktory front, and clients that push to it.
 
+#![allow(dead_code, reason = "each test file uses its part")]
+
 use crate::common::*;
 use std::net::SocketAddr;
 use std::thread::{self, JoinHandle};
