--- a/node/tests/faktory_handover.rs
+++ b/node/tests/faktory_handover.rs
@@ -64,3 +64,20 @@
     assert_eq!(second.fetch("waves"), None);
     assert!(client.join().unwrap().starts_with("-ERR"));
 }
+
+/// Guards against the same for a job whose client has left, where the settings let attempts go on: nothing may begin for
+/// a client that is gone.
+#[test]
+fn a_queued_job_is_not_handed_out_after_its_client_has_left() {
+    let mut settings = settings();
+    settings["limits"]["cancel"] = json!(false);
+    let (_discovery, program, address) = start(GATEWAY_CONFIG, settings);
+    let mut worker = FaktoryConnection::connect(address, Some("w-1"));
+    assert_eq!(worker.command("FETCH waves"), "$-1");
+    let mut client = FaktoryConnection::connect(address, None);
+    client.send(&format!("PUSH {}", job("waves", &new_id(), "x", json!({}))));
+    program.log.wait("at wid:w-1", 1);
+    drop(client);
+    program.log.wait("a client has left", 1);
+    assert_eq!(worker.fetch("waves"), None);
+}
